Find silent servers early, refuse untried jobs in time, say when to come back

Seen: the module let requests at a hung server wait for their clients' end and never stated a time to come back; held requests without any attempt were refused only at their aim.

Now a busy server that has said nothing for twice a p95 answer (400 ms at least) is ejected and its safe requests are cancelled within the retry budget.

Also: the adapter reads its settings through the router's one reader.

--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "beechledge/balancer.h"
+#include "config/settings.h"
 
 namespace beechledge::benchlink {
 namespace {
@@ -115,117 +116,6 @@
   }
 };
 
-// Settings are read leniently: what is missing or odd takes the default.
-struct Lenient {
-  std::optional<dom::object> o;
-
-  Lenient Sub(std::string_view name) const {
-    dom::object sub;
-    const auto e = o ? Find(*o, name) : std::nullopt;
-    if (!e || e->get(sub) != simdjson::SUCCESS) return {};
-    return {sub};
-  }
-  std::vector<Lenient> List(std::string_view name) const {
-    std::vector<Lenient> out;
-    dom::array list;
-    const auto e = o ? Find(*o, name) : std::nullopt;
-    if (!e || e->get(list) != simdjson::SUCCESS) return out;
-    for (dom::element item : list) {
-      dom::object sub;
-      out.push_back(item.get(sub) == simdjson::SUCCESS ? Lenient{sub} : Lenient{});
-    }
-    return out;
-  }
-  template <class T, class F>
-  T Get(std::string_view name, T fallback, F as) const {
-    const auto e = o ? Find(*o, name) : std::nullopt;
-    const std::optional<T> value = e ? as(*e) : std::nullopt;
-    return value.value_or(fallback);
-  }
-  std::int64_t Int(std::string_view name, std::int64_t d) const {
-    return Get<std::int64_t>(name, d, AsInt);
-  }
-  double Double(std::string_view name, double d) const { return Get<double>(name, d, AsDouble); }
-  bool Flag(std::string_view name, bool d) const { return Get<bool>(name, d, AsBool); }
-  std::string_view Text(std::string_view name) const { return Get<std::string_view>(name, {}, AsText); }
-  Duration Time(std::string_view name, Duration d) const { return Duration(Int(name, d.count())); }
-  int Small(std::string_view name, int d) const {
-    return static_cast<int>(std::clamp<std::int64_t>(Int(name, d), INT32_MIN, INT32_MAX));
-  }
-};
-
-Settings ReadSettings(const Lenient& in) {
-  Settings s;
-  s.balancers = in.Small("balancers", s.balancers);
-  s.me = in.Small("me", s.me);
-  s.zone = in.Small("locality", s.zone);
-  if (dom::array zones; in.o && in.o->at_key("zones").get(zones) == simdjson::SUCCESS) {
-    s.zones = static_cast<int>(zones.size());
-  }
-  for (const Lenient& c : in.List("classes")) {
-    RequestClass k;
-    k.aim = c.Time("aim", k.aim);
-    k.deadline = c.Time("give_up", k.deadline);
-    k.aim_stretch = c.Double("aim_stretch", 0);
-    k.worth = c.Double("points", k.worth);
-    k.late_worth = c.Double("late_value", 0);
-    const std::string_view effect = c.Text("effect");
-    k.effect = effect == "free" ? Effect::kSafe : effect == "guarded" ? Effect::kKeyed : Effect::kUnsafe;
-    const std::string_view group = c.Text("dedup_scope");
-    k.group = group == "all" ? Group::kAll : group == "zone" ? Group::kZone : Group::kCell;
-    k.window = c.Time("window", k.window);
-    k.stream = c.Flag("stream", false);
-    s.classes.push_back(k);
-  }
-  for (const Lenient& t : in.List("tenants")) {
-    s.tenants.push_back({t.Double("portion", 1), t.Double("allowance_per_s", 0)});
-  }
-  s.over_share_worth = in.Double("over_share_worth", s.over_share_worth);
-  s.worth_by_work = in.Text("worth_by") == "work";
-  s.list_must_be_asked = in.Text("registry_mode") == "on_request";
-  const Lenient info = in.Sub("family_info");
-  s.origin = info.Text("mode") == "aside" ? Origin::kAside : Origin::kThrough;
-  s.origin_kind = info.Small("origin_kind", -1);
-  s.origin_fall_multiple = info.Double("origin_fall_multiple", 0);
-  s.origin_fall = info.Time("origin_fall", s.origin_fall);
-  const std::string_view source = in.Sub("telemetry").Text("source");
-  s.reports = source == "answers" ? ReportSource::kAnswers
-              : source == "probe" ? ReportSource::kProbe
-                                  : ReportSource::kNone;
-  const std::string_view weights = in.Text("weights");
-  s.weights = weights == "nominal" ? Weights::kNominal
-              : weights == "rough" ? Weights::kRough
-              : weights == "live"  ? Weights::kLive
-                                   : Weights::kNone;
-  s.retry_marked = in.Sub("callers").Flag("marks_retry", false);
-  const Lenient a = in.Sub("allowed");
-  s.allowed.cancel = a.Flag("cancel", false);
-  s.allowed.probes = a.Flag("probes", false);
-  s.allowed.peers = a.Flag("peers", false);
-  s.allowed.parallel_tries = a.Flag("parallel_tries", false);
-  s.allowed.retry_after = a.Flag("retry_after", false);
-  s.allowed.max_attempts = a.Small("max_attempts", s.allowed.max_attempts);
-  s.allowed.max_open = a.Small("open_cap", s.allowed.max_open);
-  s.allowed.max_retry_after = a.Time("max_retry_after", Duration(0));
-  s.allowed.connect_timeout = a.Time("connect_timeout", Duration(0));
-  const Lenient r = in.Sub("safety");
-  s.rules.answer_slack = r.Time("answer_slack", s.rules.answer_slack);
-  s.rules.ask_within = r.Time("ask_within", s.rules.ask_within);
-  s.rules.drain_grace = r.Time("drain_grace", s.rules.drain_grace);
-  s.rules.cold_from = r.Double("cold_from", s.rules.cold_from);
-  s.rules.ramp = r.Time("ramp_time", s.rules.ramp);
-  s.rules.fall_multiple = r.Double("fall_multiple", s.rules.fall_multiple);
-  s.rules.fall = r.Time("fall", s.rules.fall);
-  const Lenient p = in.Sub("fees");
-  s.prices.cross_zone = p.Double("cross_zone", 0);
-  s.prices.waste = p.Double("waste", 0);
-  s.prices.origin = p.Double("origin", 0);
-  s.prices.probe = p.Double("probe", 0);
-  s.prices.late_fail = p.Double("late_fail", 0);
-  s.tick = in.Time("round", s.tick);
-  return s;
-}
-
 std::optional<Result> ReadResult(std::int64_t code) {
   switch (code) {
     case 10:
@@ -624,7 +514,7 @@
       dom::object settings;
       if (!options || options->get(settings) != simdjson::SUCCESS) Want(name, "options", "an object");
       instances_.erase(who);
-      instances_.try_emplace(who, ReadSettings(Lenient{settings}), seed);
+      instances_.try_emplace(who, brasswood::ReadSettings(simdjson::minify(settings)).module, seed);
       return;
     }
     const auto it = instances_.find(who);
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -38,6 +38,9 @@
 constexpr double kEjectCap = 0.4;             // at most this share of the listed servers is ejected
 constexpr Duration kEjectFirst = seconds(1);  // first ejection; doubles up to kEjectMost
 constexpr Duration kEjectMost = seconds(8);
+constexpr Duration kSilentLeast = milliseconds(400);  // longer than a pause of a sound server
+constexpr int kSilentFrom =
+    3;  // requests out from which on silence tells of the server, not of one request
 constexpr double kRetryBudget =
     0.2;  // further attempts per request, on average; a burst of kRetryBurst at most
 constexpr double kRetryBurst = 10;
@@ -129,6 +132,7 @@
   std::uint32_t life = 0;  // counts restarts: what it held before is gone
 
   int inflight = 0;
+  Time heard{0};  // when it last answered anything, or was given work while it had none
   Smoothed load;  // of own in-flight
   LoadReport report;
   Time report_at{-1};
@@ -258,6 +262,7 @@
 
   void CountInflight(Server& s, int change) {
     s.load.Hold(now_, kLoadTau, s.inflight);
+    if (s.inflight == 0) s.heard = now_;
     s.inflight = std::max(0, s.inflight + change);
   }
 
@@ -322,6 +327,40 @@
     s.ejected_until = now_ + FromSeconds(std::min(spell, Seconds(kEjectMost)) * (1 + 0.2 * Uniform()));
     ++s.ejections;
   }
+  // Guards against servers that take requests and answer none. Their requests would be found out only as
+  // the clients give up, far too late for another try. A busy server that has said nothing for several
+  // times a usual answer is ejected at once, and what it was to answer goes elsewhere where a repeat is
+  // harmless and the retry budget has room. A merely loaded server still answers something, and where all
+  // are slow the measure grows with them.
+  void FindSilent() {
+    if (!times_.Known() || !set_.allowed.cancel) return;
+    const Duration most = std::max<Duration>(kSilentLeast, 2 * times_.Quantile(0.95));
+    for (ServerId id : up_) {
+      Server& s = servers_[id];
+      const bool trial = s.ejected && s.trials > 0;
+      if (s.inflight < (trial ? 1 : kSilentFrom) || now_ - s.heard < most || IsOrigin(s)) continue;
+      if (s.ejected && !trial) continue;  // known already
+      s.heard = now_;
+      Eject(s);
+      if (s.ejected) TakeBack(id);
+    }
+  }
+  // Cancels what is out at a server, the newest first: their clients wait longest.
+  void TakeBack(ServerId id) {
+    std::vector<const Request*> there;
+    for (const auto& [key, r] : requests_) {
+      if (r.ended || r.streaming || r.out != 1 || ClassOf(r).effect != Effect::kSafe) continue;
+      if (r.attempts.back().out && r.attempts.back().server == id) there.push_back(&r);
+    }
+    std::sort(there.begin(), there.end(), [](const Request* a, const Request* b) {
+      return a->arrived != b->arrived ? a->arrived > b->arrived : a->id > b->id;
+    });
+    double room = retry_tokens_;
+    for (const Request* r : there) {
+      if ((room -= 1) < 0) break;
+      out_->emplace_back(Cancel{r->id, static_cast<int>(r->attempts.size()) - 1});
+    }
+  }
   bool Healthy(const Server& s) const { return !s.ejected || (now_ >= s.ejected_until && s.trials == 0); }
 
   // ---- The LARD choice ----
@@ -464,12 +503,32 @@
     return c.effect == Effect::kKeyed && c.group == Group::kAll;
   }
 
+  // When a refused client should come back. One whose aim has passed can earn nothing more with this
+  // request: its next try had better wait as long as clients will. Else about the time in which what is
+  // held now gets its turn, spread a little, lest all come back at once.
+  Duration ComeBack(const Request& r) {
+    if (!set_.allowed.retry_after) return Duration(0);
+    const Duration most = set_.allowed.max_retry_after;
+    const Duration aim = ClassOf(r).aim;
+    if (aim > Duration(0) && now_ - r.arrived >= aim) return most;
+    const double turns = 1 + static_cast<double>(held_.size());
+    return std::min(most, FromSeconds(typical_ * turns * (0.8 + 0.4 * Uniform())));
+  }
+
+  // How long a request may be held. Guards against the late refusal of what was never tried: from half of
+  // its time on that costs its client more than a refusal at once.
+  Duration MostHeld(const Request& r) const {
+    const Duration half = (r.deadline - r.arrived) / 2 - 2 * kHoldStep;
+    const Duration aim = ClassOf(r).aim > Duration(0) ? ClassOf(r).aim : r.deadline - r.arrived;
+    return r.attempts.empty() ? std::min(aim, half) : aim;
+  }
+
   // The one place that ends requests.
   void End(Request& r) {
     if (r.ended) return;
     r.ended = true;
     if (MayRefuse(r)) {
-      out_->push_back(Refuse{r.id, Duration(0)});
+      out_->push_back(Refuse{r.id, ComeBack(r)});
     } else {
       out_->push_back(Fail{r.id});
     }
@@ -550,8 +609,7 @@
       Request& r = it->second;
       if (r.ended || !r.held) continue;
       r.held = false;
-      const Duration aim = ClassOf(r).aim;
-      if (aim > Duration(0) && now_ - r.arrived >= aim && MayRefuse(r)) {
+      if (now_ - r.arrived >= MostHeld(r) && MayRefuse(r)) {
         End(r);
       } else if (r.awaits_fetch && !FetchDue(r)) {
         Hold(r);
@@ -585,6 +643,7 @@
     r.deadline = now_ + std::clamp(e.ttl, Duration(0), Duration(seconds(86400)));
     retry_tokens_ = std::min(kRetryBurst, retry_tokens_ + kRetryBudget);
     SetRequestTimer(TimerKind::kDeadline, r.id, r.deadline);
+    FindSilent();
     Dispatch(r);
     Forget(it);
   }
@@ -606,6 +665,7 @@
     const auto i = static_cast<std::size_t>(e.attempt);
     if (e.attempt < 0 || i >= r.attempts.size() || !r.attempts[i].out) return;
     Attempt& a = r.attempts[i];
+    if (e.result != Result::kTimeout && e.result != Result::kCancelled) s.heard = now_;
     a.out = false;
     a.may_have_run = !NeverRan(e.result);
     --r.out;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -208,5 +208,60 @@
   EXPECT_GT(d.closed, 0);
 }
 
+// Guards against a server that takes requests and answers none: found by its silence, while its clients
+// still wait, and its harmless requests tried elsewhere.
+TEST(Silence, ABusyServerThatAnswersNothingIsLeftWhileOthersAnswer) {
+  Driver d;
+  d.Servers(4);
+  for (int i = 0; i < 40; ++i) d.Serve("warm" + std::to_string(i));
+  const int silent = d.Ask("k0", 0, seconds(5));
+  const RequestId stuck = d.last_id;
+  for (int i = 1, there = 1; i < 100 && there < 3; ++i) {  // it gets more, and answers none of them
+    if (d.Ask("k" + std::to_string(i)) == silent) {
+      ++there;
+    } else {
+      d.Ends(d.last_id, 0, Result::kOk);
+    }
+  }
+  for (int i = 0; i < 60 && d.cancelled.empty(); ++i) {
+    const int at = d.Ask("later" + std::to_string(i));
+    d.Pass(milliseconds(25));
+    if (at != silent) d.Ends(d.last_id, 0, Result::kOk);
+  }
+  ASSERT_FALSE(d.cancelled.empty());
+  const auto taken_back = d.cancelled;
+  for (const auto& [id, attempt] : taken_back) d.Ends(id, attempt, Result::kCancelled);
+  EXPECT_EQ(d.attempts[stuck], 2);
+  for (std::size_t n = d.sends.size() - taken_back.size(); n < d.sends.size(); ++n) {
+    EXPECT_NE(static_cast<int>(d.sends[n].send.server), silent);
+  }
+}
+
+TEST(Silence, AServerWithOneLongRequestIsNotTakenForSilent) {
+  Driver d;
+  d.Servers(4);
+  for (int i = 0; i < 40; ++i) d.Serve("warm" + std::to_string(i));
+  d.Ask("long");
+  for (int i = 0; i < 30; ++i) d.Serve("later" + std::to_string(i), milliseconds(25));
+  EXPECT_TRUE(d.cancelled.empty());
+}
+
+// Guards against late refusals of what was never tried, and tells when to come back within what is allowed.
+TEST(Refusals, WhatIsNeverSentIsRefusedBeforeHalfItsTimeWithATimeToComeBack) {
+  Settings s = PlainSettings();
+  s.allowed.retry_after = true;
+  s.allowed.max_retry_after = seconds(2);
+  s.classes[0].aim = seconds(1);
+  Driver d(s);
+  d.List(ListKind::kRemembered, {});
+  const Time start = d.now;
+  d.Ask("a", 0, milliseconds(800));
+  d.Pass(seconds(1));
+  ASSERT_EQ(d.refused.size(), 1u);
+  EXPECT_LT(d.refused_at[0] - start, milliseconds(400));
+  EXPECT_GT(d.come_back[0], Duration(0));
+  EXPECT_LE(d.come_back[0], seconds(2));
+}
+
 }  // namespace
 }  // namespace beechledge::testing
--- a/tests/driver.h
+++ b/tests/driver.h
@@ -76,12 +76,16 @@
         sends.push_back({*send, now, attempts[send->id]++});
       } else if (const auto* refuse = std::get_if<Refuse>(&a)) {
         refused.push_back(refuse->id);
+        refused_at.push_back(now);
+        come_back.push_back(refuse->retry_after);
       } else if (const auto* fail = std::get_if<Fail>(&a)) {
         failed.push_back(fail->id);
       } else if (const auto* timer = std::get_if<SetTimer>(&a)) {
         timers_.emplace(timer->at, timer->token);
       } else if (const auto* sub = std::get_if<Subscribe>(&a)) {
         if (sub->on) subscribed.push_back(now);
+      } else if (const auto* cancel = std::get_if<Cancel>(&a)) {
+        cancelled.emplace_back(cancel->id, cancel->attempt);
       } else if (std::holds_alternative<CloseIdle>(a)) {
         ++closed;
       }
@@ -150,7 +154,9 @@
   std::map<RequestId, int> attempts;
   std::set<std::pair<RequestId, int>> concluded;
   std::vector<RequestId> refused, failed;
-  std::vector<Time> subscribed;
+  std::vector<Time> refused_at, subscribed;
+  std::vector<Duration> come_back;
+  std::vector<std::pair<RequestId, int>> cancelled;
   int closed = 0;
 
  private:
