Bound jobs by descriptors and let idle submitters make way in a full table

At the limit the front had stopped accepting (submitter_front.cpp, Accept), so commands would have waited unread in the kernel, where they count as taken.

Now: open jobs stay 5% under the connections of either side, the rest is answered busy at once with a time to come back; at a full table the submitter idle for longest makes way; a pause of the listener ends by itself.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -66,9 +66,13 @@
   const auto half = static_cast<std::size_t>(std::max(4.0, (sockets - reserve) / 2));
   l.submitters = half;
   l.claim_conns = half;
-  // Half of the memory, at a value and its copy on the way out for each open job.
-  l.jobs = std::clamp(static_cast<std::size_t>(memory_mb * 1048576 / 2 / 48 / 1024), std::size_t{16},
-                      static_cast<std::size_t>(std::max(16, s.module.allowed.max_open)));
+  // Half of the memory, at a value and its copy on the way out for each open job; and a little fewer jobs
+  // than connections on either side, so that each job finds one to a machine, and a submitter that connects
+  // while all jobs are open is accepted and told, not left waiting in the kernel's queue.
+  const double by_memory = memory_mb * 1024 / 2 / 96;
+  const double by_sockets = static_cast<double>(half) * 0.95;
+  l.jobs = static_cast<std::size_t>(
+      std::max(1.0, std::min({by_memory, by_sockets, static_cast<double>(s.module.allowed.max_open)})));
   l.max_attempts = std::max(1, s.module.allowed.max_attempts);
   if (s.module.allowed.connect_timeout > Duration(0)) l.connect = s.module.allowed.connect_timeout;
   if (s.conn_idle > Duration(0)) l.idle = s.conn_idle * 3 / 5;
--- a/src/net/submitter_front.cpp
+++ b/src/net/submitter_front.cpp
@@ -35,13 +35,9 @@
       reinterpret_cast<const sockaddr*>(&*at), sizeof *at));
   if (!listener_) throw std::runtime_error("cannot listen on " + address + ": " + std::strerror(errno));
   evconnlistener_set_error_cb(listener_.get(), [](evconnlistener*, void* self) {
-    // Out of descriptors: the waiting connection stays readable, and the loop would spin on it.
-    auto* front = static_cast<SubmitterFront*>(self);
+    // Out of descriptors: the waiting connection stays readable.
     LogLine(Level::kWarn) << "cannot accept: " << std::strerror(EVUTIL_SOCKET_ERROR());
-    front->listening_ = false;
-    evconnlistener_disable(front->listener_.get());
-    front->loop_.deadlines().Set(front->loop_.Now() + std::chrono::milliseconds(20),
-                                 [front] { front->Resume(); });
+    static_cast<SubmitterFront*>(self)->Pause();
   });
 }
 
@@ -55,9 +51,42 @@
 }
 
 void SubmitterFront::Resume() {
-  if (listening_ || listener_closed_ || submitters_.size() >= limits_.submitters) return;
+  if (listening_ || listener_closed_) return;
   listening_ = true;
   evconnlistener_enable(listener_.get());
+  MakeRoom();
+}
+
+// Guards against submitters' kept connections filling the table: what a full router does not accept waits
+// unread in the kernel, where it counts as taken. The one idle for longest makes way; should that cross a
+// command, its submitter sends it again.
+void SubmitterFront::MakeRoom() {
+  if (submitters_.size() < limits_.submitters) return;
+  // A connection just made is about to speak.
+  const Time settled = loop_.Now() - std::chrono::seconds(1);
+  std::uint64_t oldest = 0;
+  Time since{0};
+  submitters_.Each([&](std::uint64_t id, auto& s) {
+    const bool fresh = !s->used && s->active > settled;
+    if (fresh || !Idle(*s) || (oldest != 0 && s->active >= since)) return;
+    oldest = id;
+    since = s->active;
+  });
+  if (oldest != 0) return Close(oldest);
+  Pause();  // all are at work
+}
+
+// Accepts no more for a moment. Without it a loop that cannot accept would spin on the listener.
+void SubmitterFront::Pause() {
+  if (!listening_) return;
+  listening_ = false;
+  evconnlistener_disable(listener_.get());
+  loop_.deadlines().Set(loop_.Now() + std::chrono::milliseconds(20), [this] { Resume(); });
+}
+
+bool SubmitterFront::Idle(const Submitter& s) {
+  return s.pending.empty() && evbuffer_get_length(bufferevent_get_output(s.buffer.get())) == 0 &&
+         evbuffer_get_length(bufferevent_get_input(s.buffer.get())) == 0;
 }
 
 void SubmitterFront::Accept(evutil_socket_t fd) {
@@ -71,6 +100,7 @@
     evutil_closesocket(fd);
     return;
   }
+  s.active = loop_.Now();
   s.id = submitters_.Add(std::move(owned));
   ++counters_.submitters;
   bufferevent_setcb(
@@ -91,10 +121,7 @@
   const timeval patience{static_cast<time_t>(stall), 0};
   bufferevent_set_timeouts(s.buffer.get(), nullptr, &patience);
   bufferevent_enable(s.buffer.get(), EV_READ | EV_WRITE);
-  if (submitters_.size() >= limits_.submitters) {
-    listening_ = false;
-    evconnlistener_disable(listener_.get());
-  }
+  MakeRoom();
 }
 
 bool SubmitterFront::Full(const Submitter& s) const {
@@ -122,6 +149,7 @@
     }
     evbuffer_drain(bufferevent_get_input(s.buffer.get()), used);
     s.used = true;
+    s.active = loop_.Now();
     switch (command.verb) {
       case Verb::kJob:
         Begin(s, std::move(command.content));
@@ -201,11 +229,13 @@
     bufferevent_enable(s.buffer.get(), EV_READ);
     return Read(s);
   }
-  const bool idle = s.pending.empty() && evbuffer_get_length(bufferevent_get_output(s.buffer.get())) == 0;
-  const bool unread = evbuffer_get_length(bufferevent_get_input(s.buffer.get())) != 0;
   // While draining, a connection closes once it has fallen idle; a new one is first let speak. (libevent
   // reports a fresh connection's empty output as written, which used to close it before its first command.)
-  if (idle && (s.closing || (draining_ && s.used && !unread))) Close(id);
+  if (s.closing) {  // what it sent after the end is not read any more
+    evbuffer* in = bufferevent_get_input(s.buffer.get());
+    evbuffer_drain(in, evbuffer_get_length(in));
+  }
+  if (Idle(s) && (s.closing || (draining_ && s.used))) Close(id);
 }
 
 void SubmitterFront::Close(std::uint64_t id) {
@@ -217,7 +247,6 @@
   for (const Pending& pending : s->pending) {
     if (pending.job != 0) engine_.SubmitterGone(pending.job);
   }
-  Resume();
 }
 
 void SubmitterFront::Drain(std::function<void()> done) {
@@ -250,9 +279,7 @@
 // way when the listener closed is still read and answered.
 void SubmitterFront::CheckDrained(bool quiet_before) {
   bool quiet = engine_.open_jobs() == 0;
-  submitters_.Each([&](std::uint64_t, auto& s) {
-    quiet &= s->pending.empty() && evbuffer_get_length(bufferevent_get_output(s->buffer.get())) == 0;
-  });
+  submitters_.Each([&](std::uint64_t, auto& s) { quiet &= Idle(*s); });
   if (quiet && quiet_before) return drained_();
   loop_.deadlines().Set(loop_.Now() + std::chrono::milliseconds(25),
                         [this, quiet] { CheckDrained(quiet); });
--- a/src/net/submitter_front.h
+++ b/src/net/submitter_front.h
@@ -46,6 +46,7 @@
     BufferPtr buffer;
     std::deque<Pending> pending;
     std::uint64_t first = 0;  // the number of the front of `pending`
+    Time active{0};           // when it last sent a command
     bool used = false;        // has sent a command
     bool closing = false;     // reads no more, and closes when all is answered
     bool paused = false;      // not read until it has taken some answers
@@ -57,7 +58,10 @@
   };
 
   void Accept(evutil_socket_t fd);
+  void MakeRoom();
+  static bool Idle(const Submitter& s);
   void TakeWaiting();
+  void Pause();
   void Resume();
   void Read(Submitter& s);
   void Begin(Submitter& s, JobContent content);
--- a/tests/net/router_test.cpp
+++ b/tests/net/router_test.cpp
@@ -184,6 +184,31 @@
   CHECK(router.process.Wait() == 0);
 }
 
+TEST_CASE("a full table: idle submitters make way, and jobs past the limit are told to come back") {
+  Listener node;
+  Router router(Target("s1", node.address(), "in_service"), 40);  // 15 connections a side, 14 jobs
+  std::vector<Fd> submitters;
+  for (int i = 0; i < 30; ++i) {
+    submitters.push_back(router.Connect());
+    submitters.back().Write("mn\r\n");
+    CHECK(submitters.back().Line() == "MN\r\n");
+  }
+  CHECK(submitters.front().Ended());  // idle for longest
+  std::string all;
+  for (int i = 0; i < 15; ++i) all += Read("k" + std::to_string(i), "a" + std::to_string(i));
+  Fd& last = submitters.back();
+  last.Write(all);
+  for (int i = 0; i < 14; ++i) {  // each open job has its connection
+    Fd claim = node.Accept();
+    const std::string line = claim.Line();
+    const std::size_t at = line.find(" Oa") + 1;
+    claim.Write("VA 1 " + line.substr(at, line.find(' ', at) - at) + "\r\nx\r\n");
+    CHECK(last.Line().starts_with("VA 1 "));
+    CHECK(last.Line() == "x\r\n");
+  }
+  CHECK(last.Line() == "SERVER_ERROR busy 500\r\n");
+}
+
 TEST_CASE("counters on SIGUSR1") {
   Router router("");
   Fd submitter = router.Connect();
