One clock reading per event; idle connections of any pool make way; moved machines

Events now carry the moment they happened; budget and endpoint are checked where a connection is made and kept.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -30,8 +30,10 @@
 // ---- Events go through a queue: what an action sets off is handed to the module after that action's own
 // event, never from inside it. ----
 
+void Engine::Queue(beechledge::Event event) { queue_.push_back({now_(), std::move(event)}); }
+
 void Engine::Push(beechledge::Event event) {
-  queue_.push_back(std::move(event));
+  Queue(std::move(event));
   Pump();
 }
 
@@ -40,10 +42,10 @@
   pumping_ = true;
   beechledge::Actions actions;
   while (!queue_.empty()) {
-    const beechledge::Event event = std::move(queue_.front());
+    const Queued next = std::move(queue_.front());
     queue_.pop_front();
     actions.clear();
-    balancer_.Handle(now_(), event, actions);
+    balancer_.Handle(next.at, next.event, actions);
     for (const beechledge::Action& action : actions) {
       std::visit([this](const auto& a) { Do(a); }, action);
     }
@@ -64,11 +66,15 @@
   request.size_hint = job.size_hint;
   request.repeat = job.repeat;
   request.write = job.content->write;
-  const JobId id = jobs_.Add({&front, ticket, std::move(job.content), now_() + wait, 0, false, {}});
+  // One reading of the clock for both: were the module's deadline only a little later than the engine's, a
+  // claim that times out with its job would look to it like one worth another attempt.
+  const Time now = now_();
+  const JobId id = jobs_.Add({&front, ticket, std::move(job.content), now + wait, 0, false, {}});
   request.id = id;
   ++counters_.jobs_in;
   ++open_jobs_;
-  Push(std::move(request));
+  queue_.push_back({now, std::move(request)});
+  Pump();
   return id;
 }
 
@@ -99,7 +105,7 @@
   --open_jobs_;
   ++counters_.gone;
   const std::vector<ClaimId> out = job->out;
-  queue_.push_back(beechledge::ClientGone{id});
+  Queue(beechledge::ClientGone{id});
   for (const ClaimId claim : out) GiveUp(claim, Result::kCancelled);
   Release(id);
   Pump();
@@ -127,7 +133,8 @@
     moot.attempt = attempt;
     moot.complete = job == nullptr || job->ended;
     moot.result = Result::kMoot;
-    queue_.push_back(moot);
+    ++counters_.claims_ended[static_cast<std::size_t>(Result::kMoot)];
+    Queue(moot);
     return;
   }
   Time until = job->deadline;
@@ -168,7 +175,7 @@
   deadlines_.Drop(claim.deadline);
   const Duration latency = now_() - claim.sent;
   if (claim.job == 0) {
-    queue_.push_back(beechledge::ProbeResult{claim.machine, end.result, latency, end.report});
+    Queue(beechledge::ProbeResult{claim.machine, end.result, latency, end.report});
     return;
   }
   ++counters_.claims_ended[static_cast<std::size_t>(end.result)];
@@ -188,7 +195,7 @@
   outcome.result = end.result;
   outcome.note = end.note;
   outcome.report = end.report;
-  queue_.push_back(std::move(outcome));
+  Queue(std::move(outcome));
   Release(claim.job);
 }
 
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -66,6 +66,7 @@
     Deadlines::Id deadline;
   };
 
+  void Queue(beechledge::Event event);
   void Push(beechledge::Event event);
   void Pump();
   void Do(const beechledge::Send& a);
@@ -101,7 +102,11 @@
   Slots<Claim> claims_;
   std::vector<Machine> machines_;  // by MachineId
   std::unordered_map<std::string, MachineId> by_uid_;
-  std::deque<beechledge::Event> queue_;
+  struct Queued {
+    Time at;  // when it happened
+    beechledge::Event event;
+  };
+  std::deque<Queued> queue_;
   bool pumping_ = false;
   bool ready_ = false;
   std::size_t open_jobs_ = 0;  // without their answer
--- a/src/net/claim_pool.cpp
+++ b/src/net/claim_pool.cpp
@@ -18,10 +18,13 @@
 
 ClaimPool::ClaimPool(Loop& loop, Engine& engine, const Limits& limits, Counters& counters,
                      ConnBudget& budget)
-    : loop_(loop), engine_(engine), limits_(limits), counters_(counters), budget_(budget) {}
+    : loop_(loop), engine_(engine), limits_(limits), counters_(counters), budget_(budget) {
+  budget_.pools.push_back(this);
+}
 
 ClaimPool::~ClaimPool() {
   for (Connection& c : connections_) loop_.deadlines().Drop(c.deadline);
+  std::erase(budget_.pools, this);
 }
 
 void ClaimPool::Start(ClaimId claim, MachineId to, std::shared_ptr<const JobContent> job, Time until) {
@@ -56,6 +59,7 @@
   c.pool = this;
   c.self = std::prev(connections_.end());
   c.machine = to;
+  c.endpoint = machine->endpoint;
   c.errand = std::move(errand);
   ++budget_.open;
   ++counters_.connections;
@@ -152,6 +156,12 @@
 }
 
 void ClaimPool::Rest(Connection& c) {
+  // Guards against a machine that moved, or went, while this connection was at work: the next claim for it
+  // must not go to where it was.
+  const Machine* machine = engine_.FindMachine(c.machine);
+  if (machine->endpoint != c.endpoint || machine->availability == beechledge::Availability::kRemoved) {
+    return Drop(c);
+  }
   busy_.erase(c.errand.claim);
   c.errand = {};
   c.written = false;
@@ -195,9 +205,15 @@
   while (!it->second.empty()) Drop(*it->second.back());
 }
 
-// Room for one more connection: where the budget is spent, an idle one to another machine makes way.
+// Room for one more connection: where the budget is spent, an idle one of any pool makes way. (Each pool
+// once looked at its own alone, and idle connections to execute nodes could shut out the origin.)
 bool ClaimPool::MakeRoom() {
-  if (budget_.open < limits_.claim_conns) return true;
+  return budget_.open < limits_.claim_conns ||
+         std::any_of(budget_.pools.begin(), budget_.pools.end(),
+                     [](ClaimPool* pool) { return pool->DropIdle(); });
+}
+
+bool ClaimPool::DropIdle() {
   for (auto& [machine, idle] : idle_) {
     if (idle.empty()) continue;
     Drop(*idle.front());
--- a/src/net/claim_pool.h
+++ b/src/net/claim_pool.h
@@ -16,9 +16,12 @@
 
 namespace brasswood {
 
-// How many connections to machines there are, over all pools of the process.
+class ClaimPool;
+
+// The connections to machines, over all pools of the process.
 struct ConnBudget {
   std::size_t open = 0;
+  std::vector<ClaimPool*> pools;
 };
 
 class ClaimPool : public Back {
@@ -51,6 +54,7 @@
     ClaimPool* pool = nullptr;
     Place self;
     MachineId machine = 0;
+    std::string endpoint;  // where it leads; the machine may have moved since
     BufferPtr buffer;
     bool up = false;
     bool written = false;  // the errand's bytes are in the buffer, or gone
@@ -69,6 +73,7 @@
   void Break(Connection& c, beechledge::Result result);
   void Drop(Connection& c);
   bool MakeRoom();
+  bool DropIdle();
   static bool LeftWhole(const Connection& c);
 
   Loop& loop_;
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -86,7 +86,7 @@
     limits.max_attempts = 3;
     limits.jobs = 4;
     engine.emplace(
-        settings, 1, limits, [this] { return now; }, deadlines, counters);
+        settings, 1, limits, [this] { return now += tick; }, deadlines, counters);
     ends.engine = &*engine;
     engine->Attach(ends, ends, ends);
     MachineList list;
@@ -116,7 +116,7 @@
   std::ostringstream quiet;
   beechledge::Settings settings;
   Limits limits;
-  Time now = 100s;
+  Time now = 100s, tick{0};
   Deadlines deadlines;
   Counters counters;
   Ends ends;
@@ -184,6 +184,17 @@
   CHECK(w.counters.gone == 1);
 }
 
+// Guards against two readings of the clock: a claim that times out with its job is not tried again.
+TEST_CASE("the end of a job's time is one moment, however the clock moves") {
+  World w;
+  w.tick = 1us;
+  w.Take(7);
+  w.To(102s);
+  CHECK(w.ends.answers[7].size() == 1);
+  CHECK(w.ends.claims.size() == 1);
+  CHECK(w.counters.claims_ended[static_cast<std::size_t>(Result::kMoot)] == 0);
+}
+
 TEST_CASE("jobs past the limit are not taken") {
   World w;
   for (std::uint64_t n = 1; n <= 4; ++n) CHECK(w.Take(n) != 0);
--- a/tests/net/router_test.cpp
+++ b/tests/net/router_test.cpp
@@ -133,6 +133,45 @@
   CHECK(router.Connect().get() >= 0);  // and the program goes on
 }
 
+TEST_CASE("a machine that moves is asked where it is, also when it moved during a claim") {
+  Listener before, after;
+  Router router(Target("s1", before.address(), "in_service"));
+  Fd discovery = router.discovery.Accept();
+  WatchCall(discovery);
+  Fd submitter = router.Connect();
+  submitter.Write(Read("k", "a1"));
+  Fd claim = before.Accept();
+  claim.Line();
+  discovery.Write(Http(List(2, false, Target("s1", after.address(), "in_service"))));
+  WatchCall(discovery);
+  claim.Write("VA 1 Oa1\r\nx\r\n");
+  CHECK(submitter.Until("x\r\n") == "VA 1 Oa1\r\nx\r\n");
+  CHECK(claim.Ended());  // not kept
+  submitter.Write(Read("k", "a2"));
+  CHECK(after.Accept().Line().starts_with("mg k v Oa2"));
+}
+
+// Guards against idle connections of one pool that shut out the other: the origin is asked although
+// connections to execute nodes fill the budget.
+TEST_CASE("idle connections of any kind make way for a claim") {
+  Listener node;
+  Router router(Target("s1", node.address(), "in_service"), 8);  // 4 connections a side, 3 jobs
+  Fd submitter = router.Connect();
+  std::vector<Fd> kept;
+  submitter.Write(Read("k0", "a0") + Read("k1", "a1") + Read("k2", "a2"));
+  for (int i = 0; i < 3; ++i) kept.push_back(node.Accept());
+  for (Fd& claim : kept) {
+    const std::string line = claim.Line();
+    claim.Write("EN " + line.substr(line.find(" Oa") + 1, 3) + "\r\n");
+  }
+  for (int i = 0; i < 3; ++i) {  // three idle, one free: two of the three make way
+    kept.push_back(router.origin.Accept());
+    CHECK(kept.back().Until("\r\n\r\n").starts_with("GET /k"));
+  }
+  for (int i = 3; i < 6; ++i) kept[static_cast<std::size_t>(i)].Write(Http("x"));
+  for (int i = 0; i < 3; ++i) CHECK(submitter.Until("\r\nx\r\n").starts_with("VA 1 Oa"));
+}
+
 TEST_CASE("a bad answer is a failed claim on a closed connection, and another machine is asked") {
   Listener nodes[2];
   Router router(Target("s0", nodes[0].address(), "in_service") + "," +
