--- a/src/base/counters.cpp
+++ b/src/base/counters.cpp
@@ -6,8 +6,9 @@
   static constexpr const char* kResults[] = {"ok",    "error",     "full", "timeout", "connect_failed",
                                              "reset", "cancelled", "moot", "miss"};
   out << "counters: submitters=" << c.submitters << " jobs_in=" << c.jobs_in
-      << " bad_commands=" << c.bad_commands << " served=" << c.served << " refused=" << c.refused
-      << " failed=" << c.failed << " gone=" << c.gone << " claims_sent=" << c.claims_sent;
+      << " turned_away=" << c.turned_away << " bad_commands=" << c.bad_commands << " served=" << c.served
+      << " refused=" << c.refused << " failed=" << c.failed << " gone=" << c.gone
+      << " claims_sent=" << c.claims_sent;
   for (std::size_t i = 0; i < c.claims_ended.size(); ++i) {
     out << " claims_" << kResults[i] << '=' << c.claims_ended[i];
   }
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -56,7 +56,10 @@
 // ---- Jobs ----
 
 JobId Engine::Take(Front& front, std::uint64_t ticket, NewJob job) {
-  if (jobs_.size() >= limits_.jobs) return 0;
+  if (jobs_.size() >= limits_.jobs) {
+    ++counters_.turned_away;
+    return 0;
+  }
   const Duration wait = std::clamp(job.wait, Duration(0), limits_.longest_wait);
   beechledge::NewRequest request;
   request.request_class = job.job_class;
@@ -289,7 +292,8 @@
     }
     m.uid = entry.uid;
     m.endpoint = entry.endpoint;
-    m.origin = settings_.origin_kind >= 0 && entry.kind == settings_.origin_kind;
+    // Decided once: a claim must end at the back end that it began at.
+    if (fresh) m.origin = settings_.origin_kind >= 0 && entry.kind == settings_.origin_kind;
     m.availability = entry.availability;
     beechledge::ServerEntry e;
     e.id = id;
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -43,7 +43,14 @@
         Refuse("no answer in time");
       });
   if (!buffer_) Connect();
-  if (!buffer_) return;
+  if (!buffer_) {  // reported at once, but not from inside the module's own action
+    loop_.deadlines().Drop(deadline_);
+    deadline_ = loop_.deadlines().Set(loop_.Now(), [this] {
+      deadline_ = {};
+      Refuse("cannot connect");
+    });
+    return;
+  }
   const std::string text = WriteGet(address_, ListPath(fetch_ ? std::nullopt : rev_, limits_.watch));
   bufferevent_write(buffer_.get(), text.data(), text.size());
 }
@@ -63,7 +70,7 @@
   bufferevent_setwatermark(buffer_.get(), EV_READ, 0, limits_.list + limits_.http_head);
   bufferevent_enable(buffer_.get(), EV_READ | EV_WRITE);
   if (bufferevent_socket_connect(buffer_.get(), reinterpret_cast<const sockaddr*>(&*to), sizeof *to) != 0) {
-    buffer_.reset();  // the call's own limit reports it
+    buffer_.reset();
     return;
   }
   const int on = 1;
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -200,6 +200,7 @@
   World w;
   for (std::uint64_t n = 1; n <= 4; ++n) CHECK(w.Take(n) != 0);
   CHECK(w.Take(5) == 0);
+  CHECK(w.counters.turned_away == 1);
 }
 
 TEST_CASE("no first byte goes to a machine told to drain, past part of the grace") {
