--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,8 +1,7 @@
 // Every decision of beechledge. Its types, events and actions are in include/beechledge/balancer.h.
 //
 // Read from top to bottom: tuning constants; servers (load, health, cold budget); the key table; the LARD
-// choice; the gate that every send passes; attempts and answers; the server list. docs/design.md gives the
-// reasons, docs/on-call.md what is seen when something breaks.
+// choice; the gate that every send passes; attempts and answers; the server list.
 #include <algorithm>
 #include <array>
 #include <cmath>
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "config/json.h"
 #include "protocol/address.h"
 #include "protocol/discovery.h"
 
@@ -17,14 +18,9 @@
 
 using rapidjson::Value;
 
-const Value* Find(const Value& in, const char* name) {
-  const auto m = in.FindMember(name);
-  return m == in.MemberEnd() || m->value.IsNull() ? nullptr : &m->value;
-}
-
 std::string Text(const Value& in, const char* name, std::string_view variable) {
   if (!variable.empty()) return std::string(variable);
-  const Value* v = Find(in, name);
+  const Value* v = FindField(in, name);
   if (v == nullptr) return {};
   if (!v->IsString()) throw BadConfig(std::string("configuration: \"") + name + "\" is not a string");
   return {v->GetString(), v->GetStringLength()};
@@ -40,7 +36,7 @@
 }
 
 double Number(const Value* in, const char* name, double fallback) {
-  const Value* v = in != nullptr && in->IsObject() ? Find(*in, name) : nullptr;
+  const Value* v = in != nullptr && in->IsObject() ? FindField(*in, name) : nullptr;
   if (v == nullptr) return fallback;
   if (!v->IsNumber() || !(v->GetDouble() > 0)) {
     throw BadConfig(std::string("configuration: limit \"") + name + "\" is not a number above 0");
@@ -109,15 +105,15 @@
   c.listen = Address(in, "listen", listen);
   c.discovery = Address(in, "discovery", discovery);
   c.seed = Seed(Text(in, "seed", {}));
-  const Value* settings = Find(in, "settings");
+  const Value* settings = FindField(in, "settings");
   if (settings == nullptr || !settings->IsObject()) {
     throw BadConfig("configuration: \"settings\" is missing or not an object");
   }
   c.settings = ReadSettings(*settings);
   if (c.settings.names.classes.empty()) throw BadConfig("configuration: the settings name no classes");
-  const Value* limits = Find(in, "limits");
+  const Value* limits = FindField(in, "limits");
   c.limits = FillLimits(c.settings, Number(limits, "memory_mb", 192), Number(limits, "sockets", 1024));
-  if (const Value* known = Find(in, "known")) {
+  if (const Value* known = FindField(in, "known")) {
     std::string why;
     const auto list = ReadMachineList(*known, c.settings.names, c.limits, why);
     if (!list) throw BadConfig("configuration: \"known\": " + why);
--- a/src/protocol/discovery.cpp
+++ b/src/protocol/discovery.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <set>
 
+#include "config/json.h"
 #include "protocol/address.h"
 
 namespace brasswood {
@@ -11,13 +12,8 @@
 
 using rapidjson::Value;
 
-const Value* Find(const Value& in, const char* name) {
-  const auto m = in.FindMember(name);
-  return m == in.MemberEnd() || m->value.IsNull() ? nullptr : &m->value;
-}
-
 std::string Text(const Value& in, const char* name) {
-  const Value* v = Find(in, name);
+  const Value* v = FindField(in, name);
   return v != nullptr && v->IsString() ? std::string(v->GetString(), v->GetStringLength()) : std::string();
 }
 
@@ -46,15 +42,15 @@
   }
   e.zone = Place(names.zones, Text(in, "az"));
   e.kind = Place(names.kinds, Text(in, "model"));
-  if (const Value* cell = Find(in, "pod_group")) {
+  if (const Value* cell = FindField(in, "pod_group")) {
     if (!cell->IsInt()) return e.uid + ": pod_group is not a whole number";
     e.cell = cell->GetInt();
   }
-  if (const Value* scale = Find(in, "capacity_hint")) {
+  if (const Value* scale = FindField(in, "capacity_hint")) {
     if (!scale->IsNumber() || !(scale->GetDouble() >= 0)) return e.uid + ": capacity_hint is not a figure";
     e.scale = scale->GetDouble();
   }
-  if (const Value* boot = Find(in, "boot_ms")) {
+  if (const Value* boot = FindField(in, "boot_ms")) {
     if (!boot->IsNumber() || !(boot->GetDouble() >= 0) || boot->GetDouble() > 9e12) {
       return e.uid + ": boot_ms is not a time";
     }
@@ -72,9 +68,9 @@
     why = "not an object";
     return std::nullopt;
   }
-  const Value* rev = Find(in, "rev");
-  const Value* all = Find(in, "all");
-  const Value* targets = Find(in, "targets");
+  const Value* rev = FindField(in, "rev");
+  const Value* all = FindField(in, "all");
+  const Value* targets = FindField(in, "targets");
   MachineList list;
   if (rev == nullptr || !rev->IsInt64()) {
     why = "no whole number as rev";
