Move the watch to the new discovery on SIGHUP instead of dying of it

Checked: 129 is 128 + 1, and main.cpp:39-44 registered SIGUSR1, SIGTERM and SIGINT only, so SIGHUP's default killed the process.

Now SIGHUP reads PROXY_CONFIG again, PROXY_DISCOVERY left out (LoadConfig let the variable of the start go before the file, config.cpp:134). A bad file is one log line and changes nothing. A good one moves the watch (DiscoveryWatch::MoveTo): the call that is out is dropped, the old service's version is forgotten, and the whole list is asked for at once; should that call fail, the module's next try asks for the whole list too. The signals but for the stops are registered before the listener opens.

Checked by a test that fails without it (the program dies): a bad file, two reloads in a row with the first in the middle of its call, the variable naming the old address, an open job served across, and a reload while SIGTERM is being served. Ruled out: masking by the variable, a watch kept by the old version.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -122,14 +122,20 @@
   return c;
 }
 
-Config LoadConfig() {
+namespace {
+
+Config FromFile(std::string_view discovery) {
   const std::string path(Variable("PROXY_CONFIG"));
   if (path.empty()) throw BadConfig("configuration: PROXY_CONFIG is not set");
   std::ifstream file(path);
   std::ostringstream text;
   if (!file || !(text << file.rdbuf())) throw BadConfig("configuration: cannot read " + path);
-  return ReadConfig(text.str(), Variable("PROXY_NAME"), Variable("PROXY_LISTEN"),
-                    Variable("PROXY_DISCOVERY"));
+  return ReadConfig(text.str(), Variable("PROXY_NAME"), Variable("PROXY_LISTEN"), discovery);
 }
 
+}  // namespace
+
+Config LoadConfig() { return FromFile(Variable("PROXY_DISCOVERY")); }
+Config ReloadConfig() { return FromFile({}); }
+
 }  // namespace brasswood
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -34,6 +34,10 @@
 // From the environment: PROXY_CONFIG names the file.
 Config LoadConfig();
 
+// The same file read again while the router runs. PROXY_DISCOVERY speaks of the start only: the file alone
+// says where discovery is by now.
+Config ReloadConfig();
+
 }  // namespace brasswood
 
 #endif  // BRASSWOOD_CONFIG_CONFIG_H_
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -30,8 +30,19 @@
   DiscoveryWatch watch(loop, engine, limits, names, config.discovery, config.known.rev);
   engine.Attach(nodes, origin, watch);
   engine.Remember(config.known);
-  SubmitterFront front(loop, engine, limits, names, counters, config.listen);
+  // Guards against a restart for a new configuration: open jobs and the listener stay as they are. What a
+  // router cannot change while it serves (its address, limits, settings) waits for its next start.
+  loop.OnSignal(SIGHUP, [&watch] {
+    try {
+      const Config fresh = ReloadConfig();
+      LogLine(Level::kInfo) << "configuration read again; discovery at " << fresh.discovery;
+      watch.MoveTo(fresh.discovery);
+    } catch (const std::exception& e) {
+      LogLine(Level::kError) << "configuration kept as it was: " << e.what();
+    }
+  });
   loop.OnSignal(SIGUSR1, [&counters] { LogLine(Level::kInfo) << counters; });
+  SubmitterFront front(loop, engine, limits, names, counters, config.listen);
   const auto stop = [&] {
     LogLine(Level::kInfo) << config.name << " stops; open jobs: " << engine.open_jobs();
     front.Drain([&loop] { loop.Stop(); });
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -32,6 +32,18 @@
   Call();
 }
 
+// Guards against waiting for the old service to fail: what the new one tells counts as told within seconds,
+// whatever call is out. Versions are the old service's own, so the whole list comes first. Where no watch
+// was up (the module is about to ask again) this begins one, and the module's own asking finds it begun.
+void DiscoveryWatch::MoveTo(const std::string& address) {
+  if (address == address_ && calling_) return;
+  address_ = address;
+  buffer_.reset();
+  rev_.reset();
+  following_ = true;
+  Call();
+}
+
 void DiscoveryWatch::Call() {
   calling_ = true;
   loop_.deadlines().Drop(deadline_);
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -22,6 +22,10 @@
   void Follow(bool on) override;
   void FetchAll() override;
 
+  // Goes on at this address: the whole list at once, then the watch. Nothing is changed where it already
+  // watches there.
+  void MoveTo(const std::string& address);
+
  private:
   void Call();
   void Connect();
@@ -32,7 +36,7 @@
   Engine& engine_;
   const Limits& limits_;
   const Names& names_;
-  const std::string address_;
+  std::string address_;
   std::optional<std::int64_t> rev_;
   bool following_ = false;
   bool fetch_ = false;    // the whole list is asked for once
--- a/tests/net/router_test.cpp
+++ b/tests/net/router_test.cpp
@@ -223,6 +223,42 @@
   CHECK(router.process.Wait() == 0);
 }
 
+TEST_CASE("SIGHUP: discovery moves at once, whole list first, and nothing open is touched") {
+  Listener node, later, elsewhere;
+  Router router(Target("s1", node.address(), "in_service"));
+  Fd old = router.discovery.Accept();
+  WatchCall(old);
+  Fd submitter = router.Connect();
+  submitter.Write(Read("k", "a1"));
+  Fd claim = node.Accept();
+  claim.Line();
+  router.process.Reload("{ not JSON");  // refused in one line, and the old watch goes on
+  CHECK_FALSE(router.process.err.Until("configuration kept as it was").empty());
+  old.Write(Http(List(2, false, "")));
+  CHECK(WatchCall(old).starts_with("GET /api/targets?since=2&"));
+  // PROXY_DISCOVERY still names the old address. Its call is out, and it never answers it.
+  router.process.Reload(Router::Config(elsewhere.address(), ""));
+  Fd passing = elsewhere.Accept();
+  CHECK(WatchCall(passing).starts_with("GET /api/targets HTTP/1.1\r\n"));
+  CHECK(old.Ended());
+  router.process.Reload(Router::Config(later.address(), ""));  // again, in the middle of that call
+  Fd fresh = later.Accept();
+  CHECK(WatchCall(fresh).starts_with("GET /api/targets HTTP/1.1\r\n"));
+  CHECK(passing.Ended());
+  fresh.Write(Http(List(1, true, Target("s1", node.address(), "in_service"))));
+  CHECK(WatchCall(fresh).starts_with("GET /api/targets?since=1&"));
+  claim.Write("VA 1 Oa1\r\nx\r\n");
+  CHECK(submitter.Until("x\r\n") == "VA 1 Oa1\r\nx\r\n");
+  Fd busy = router.Connect();
+  busy.Write(Read("k", "a2"));
+  claim.Line();
+  REQUIRE(::kill(router.process.pid, SIGTERM) == 0);
+  router.process.Reload(Router::Config(elsewhere.address(), ""));  // while it stops
+  claim.Write("VA 1 Oa2\r\nx\r\n");
+  CHECK(busy.Until("x\r\n") == "VA 1 Oa2\r\nx\r\n");
+  CHECK(router.process.Wait() == 0);
+}
+
 TEST_CASE("a full table: idle submitters make way, and jobs past the limit are told to come back") {
   Listener node;
   Router router(Target("s1", node.address(), "in_service"), 40);  // 15 connections a side, 14 jobs
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -144,16 +144,26 @@
   pid_t pid = -1;
   Fd err;
   std::string listen;  // where it serves
+  std::string path;    // of its configuration
   Process() = default;
   Process(Process&& o) noexcept
-      : pid(std::exchange(o.pid, -1)), err(std::move(o.err)), listen(std::move(o.listen)) {}
+      : pid(std::exchange(o.pid, -1)),
+        err(std::move(o.err)),
+        listen(std::move(o.listen)),
+        path(std::exchange(o.path, {})) {}
   Process& operator=(Process&& o) noexcept {
     std::swap(pid, o.pid);
     std::swap(err, o.err);
     std::swap(listen, o.listen);
+    std::swap(path, o.path);
     return *this;
   }
+  void Reload(const std::string& config) const {
+    std::ofstream(path, std::ios::trunc) << config;
+    REQUIRE(::kill(pid, SIGHUP) == 0);
+  }
   ~Process() {
+    if (!path.empty()) ::unlink(path.c_str());
     if (pid <= 0) return;
     ::kill(pid, SIGKILL);
     ::waitpid(pid, nullptr, 0);
@@ -165,7 +175,7 @@
   }
 };
 
-inline Process Start(const std::string& config) {
+inline Process Start(const std::string& config, const std::string& discovery = "") {
   char path[] = "/tmp/brasswood-test-XXXXXX";
   const int file = ::mkstemp(path);
   REQUIRE(file >= 0);
@@ -173,13 +183,14 @@
   ::close(file);
   int err[2];
   REQUIRE(::pipe2(err, O_CLOEXEC) == 0);
-  const std::string variable = std::string("PROXY_CONFIG=") + path;
+  const std::string variable = std::string("PROXY_CONFIG=") + path, start = "PROXY_DISCOVERY=" + discovery;
   Process p;
+  p.path = path;
   p.pid = ::fork();
   if (p.pid == 0) {
     ::dup2(err[1], 2);
     char* const argv[] = {const_cast<char*>("brasswood"), nullptr};
-    char* const env[] = {const_cast<char*>(variable.c_str()), nullptr};
+    char* const env[] = {const_cast<char*>(variable.c_str()), const_cast<char*>(start.c_str()), nullptr};
     ::execve(BRASSWOOD_PROGRAM, argv, env);
     ::_exit(127);
   }
@@ -196,7 +207,6 @@
       break;
     }
   }
-  ::unlink(path);
   return p;
 }
 
@@ -205,7 +215,7 @@
   Listener discovery, origin;
   Process process;
 
-  static std::string Config(const std::string& discovery, const std::string& targets, int sockets) {
+  static std::string Config(const std::string& discovery, const std::string& targets, int sockets = 256) {
     const std::string klass = R"("aim":5000000000,"give_up":10000000000,"points":1,"dedup_scope":"all",)"
                               R"("window":5000000000)";
     return R"({"name":"n1","listen":"127.0.0.1:0","discovery":")" + discovery + R"(","seed":"1",)" +
@@ -222,7 +232,7 @@
   explicit Router(const std::string& targets, int sockets = 256) {
     const std::string with_origin =
         targets + (targets.empty() ? "" : ",") + Target("o1", origin.address(), "in_service", 0, "origin");
-    process = Start(Config(discovery.address(), with_origin, sockets));
+    process = Start(Config(discovery.address(), with_origin, sockets), discovery.address());
   }
   Fd Connect() const {
     Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
