Refuse what cannot be meant, bound silence, tell spoilt answers from failures

A probe that logged answers showed spoilt ones: lengths that do not fit, other ids, `HTTP/1.1 OK 200`, heads without end, and good ones behind 103 and 102 or with a second copy.

At fault: DescribeJob (meta.cpp) let any class, deadline and label through and the last of two ids win; nothing looked for an open job of the same id; a silent or half-spoken submitter had no deadline; Wake() closed with input unread, which resets; ParseHttpAnswer refused 1xx; OnRead() called a spoilt answer an error, which moved the job off the key's holder and struck the node's health; Begin() reused a connection without a look at its socket; from_chars took nan and inf; tables of machines only grew.

Now: commands are checked whole; half of one is told so after 2.5 s, a silent connection closed, one at rest given back after 4 s; a closing one is written, shut and read out (MSG_TRUNC, nothing stored). A full table gives way by rank. Limits bound memory as a sum, and one submitter's part of the job table. A spoilt answer has its own result: may have run, asked for again once where the key is, no strike in a streak. An answer begun must end in 500 ms; bytes beyond one close its connection. Machines gone for 15 s are forgotten and their numbers reused; the module takes another name under an id for a new server.

--- a/include/beechledge/balancer.h
+++ b/include/beechledge/balancer.h
@@ -5,7 +5,8 @@
 // a wire, a socket or a thread; one Balancer is used from one thread at a time.
 //
 // The host maps its own ids to the small numbers used here. A RequestId is never reused while the request
-// is open or an attempt for it is out; a ServerId stays with the same server for the life of the Balancer.
+// is open or an attempt for it is out. A ServerId stays with its server until the server is removed and no
+// open request has an attempt at it; then it may be given to another, which the entry's name tells.
 // Misuse (an unknown id, a clock that steps back, a duplicate id) is passed over and breaks nothing else.
 #ifndef BEECHLEDGE_BALANCER_H_
 #define BEECHLEDGE_BALANCER_H_
@@ -23,7 +24,7 @@
 using Duration = std::chrono::nanoseconds;
 using Time = std::chrono::nanoseconds;  // since an epoch of the host's choosing; never steps back
 using RequestId = std::uint64_t;
-using ServerId = std::uint32_t;  // dense: the host counts up from 0
+using ServerId = std::uint32_t;  // dense: the host counts up from 0, and gives gone servers' again
 
 // ---- Settings: stated once, at the start ----
 
@@ -140,7 +141,18 @@
   std::uint64_t token = 0;
 };
 
-enum class Result { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot, kMiss };
+enum class Result {
+  kOk,
+  kError,
+  kFull,
+  kTimeout,
+  kConnectFailed,
+  kReset,
+  kCancelled,
+  kMoot,
+  kMiss,
+  kSpoilt  // an answer that cannot be read: it has run, and the server is at work
+};
 enum class Note { kNone, kHit, kMiss, kMissFetching };
 
 struct LoadReport {  // a value that the site does not report is absent
--- a/src/base/counters.cpp
+++ b/src/base/counters.cpp
@@ -4,11 +4,11 @@
 
 std::ostream& operator<<(std::ostream& out, const Counters& c) {
   static constexpr const char* kResults[] = {"ok",    "error",     "full", "timeout", "connect_failed",
-                                             "reset", "cancelled", "moot", "miss"};
+                                             "reset", "cancelled", "moot", "miss",    "spoilt"};
   out << "counters: submitters=" << c.submitters << " jobs_in=" << c.jobs_in
-      << " turned_away=" << c.turned_away << " bad_commands=" << c.bad_commands << " served=" << c.served
-      << " refused=" << c.refused << " failed=" << c.failed << " gone=" << c.gone
-      << " claims_sent=" << c.claims_sent;
+      << " turned_away=" << c.turned_away << " bad_commands=" << c.bad_commands << " silent=" << c.silent
+      << " made_way=" << c.made_way << " served=" << c.served << " refused=" << c.refused
+      << " failed=" << c.failed << " gone=" << c.gone << " claims_sent=" << c.claims_sent;
   for (std::size_t i = 0; i < c.claims_ended.size(); ++i) {
     out << " claims_" << kResults[i] << '=' << c.claims_ended[i];
   }
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -159,6 +159,7 @@
   bool fetch = false;  // a miss is likely: the origin will be asked
   bool out = true;
   bool may_have_run = true;
+  bool spoilt = false;  // it was answered, and the answer could not be read
 };
 
 struct Request {
@@ -179,8 +180,12 @@
   bool MayHaveRun() const {
     return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.may_have_run; });
   }
+  // Has this server failed it? Guards against leaving a key's holder, and fetching what it holds, for one
+  // answer spoilt on its way; a second one counts.
   bool Tried(ServerId s) const {
-    return std::any_of(attempts.begin(), attempts.end(), [&](const Attempt& a) { return a.server == s; });
+    int spoilt = 0;
+    return std::any_of(attempts.begin(), attempts.end(),
+                       [&](const Attempt& a) { return a.server == s && (!a.spoilt || ++spoilt > 1); });
   }
 };
 
@@ -288,10 +293,12 @@
 
   // ---- Health: outcomes against those of the peers ----
 
-  void Judge(Server& s, bool failed, bool hard) {
+  // A spoilt answer counts in the share but not in a streak: the server works, and a few of them by chance
+  // must not take it out.
+  void Judge(Server& s, bool failed, bool hard, bool spoilt = false) {
     s.failure_share += kHealthStep * ((failed ? 1 : 0) - s.failure_share);
     fleet_failure_ += kHealthStep / 10 * ((failed ? 1 : 0) - fleet_failure_);
-    s.failure_streak = failed ? s.failure_streak + 1 : 0;
+    if (!spoilt) s.failure_streak = failed ? s.failure_streak + 1 : 0;
     if (s.ejected && now_ >= s.ejected_until) {
       if (!failed) {  // half-open, and it answered
         s.ejected = false;
@@ -307,7 +314,7 @@
     }
     const bool worse_than_peers = s.failure_share > 2 * fleet_failure_ + 0.1;
     if (!s.ejected && worse_than_peers &&
-        (s.failure_share > kEjectShare || s.failure_streak >= kEjectStreak ||
+        (s.failure_share > kEjectShare || (!spoilt && s.failure_streak >= kEjectStreak) ||
          (hard && s.failure_streak >= 2))) {
       Eject(s);
     }
@@ -667,6 +674,7 @@
     if (e.result != Result::kTimeout && e.result != Result::kCancelled) s.heard = now_;
     a.out = false;
     a.may_have_run = !NeverRan(e.result);
+    a.spoilt = e.result == Result::kSpoilt;
     --r.out;
     CountInflight(s, -1);
     if (s.trials > 0) --s.trials;
@@ -687,12 +695,12 @@
     KeyTable::Entry* entry = r.keyed_item ? keys_.Find(r.key) : nullptr;
     if (entry != nullptr && !NeverRan(e.result) && e.result != Result::kCancelled) {
       // A write voids the kept copies; an error says that the copy is gone and could not be fetched again.
-      const bool ok = e.result == Result::kOk;
+      const bool ok = e.result == Result::kOk, ran = ok || e.result == Result::kSpoilt;
       for (Holder& h : entry->holders) {
         const bool here = h.server == a.server && h.life == servers_[a.server].life;
-        if (r.write && ok) {
+        if (r.write && ran) {
           h.confirmed = false;
-        } else if (here && !r.write) {
+        } else if (here && !r.write && e.result != Result::kSpoilt) {
           h.confirmed = ok;
         }
       }
@@ -707,7 +715,9 @@
       return;  // it was kept after all: not a word from the origin
     const Duration aim = ClassOf(r).aim;
     const double most = aim > Duration(0) ? Seconds(aim) : INFINITY;
-    const bool bad = e.result != Result::kOk || took > std::min(kFetchSlow * fetch_base_, most);
+    const bool answered =
+        e.result == Result::kOk || e.result == Result::kSpoilt;  // the origin did its work
+    const bool bad = !answered || took > std::min(kFetchSlow * fetch_base_, most);
     if (e.result == Result::kOk) fetch_base_ += (took < fetch_base_ ? 0.02 : 0.01) * (took - fetch_base_);
     fetch_bad_ += 0.1 * ((bad ? 1 : 0) - fetch_bad_);
     if (bad && fetch_bad_ > kFetchBad) {
@@ -735,6 +745,9 @@
       case Result::kTimeout:
         Judge(s, true, false);
         break;
+      case Result::kSpoilt:
+        Judge(s, true, false, true);
+        break;
       case Result::kConnectFailed:
       case Result::kReset:
         Judge(s, true, true);
@@ -831,7 +844,13 @@
   void Take(const ServerEntry& entry) {
     if (entry.id >= servers_.size()) servers_.resize(entry.id + 1);
     Server& s = servers_[entry.id];
-    if (s.hash == 0) s.hash = StableHash(entry.name);
+    const std::uint64_t hash = StableHash(entry.name);
+    if (s.hash != 0 && s.hash != hash) {      // another server under the id of one that is gone
+      const std::uint32_t life = s.life + 1;  // the keys that the old one held are not its own
+      s = {};
+      s.life = life;
+    }
+    s.hash = hash;
     s.listed = entry.availability != Availability::kRemoved;
     s.zone = entry.zone;
     s.kind = entry.kind;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -60,21 +60,34 @@
   // halved between the two sides.
   const double reserve = std::min(48.0, sockets / 4);
   const auto half = static_cast<std::size_t>(std::max(4.0, (sockets - reserve) / 2));
-  l.submitters = half;
   l.claim_conns = half;
-  // Half of the memory, at a value and its copy on the way out for each open job; and a little fewer jobs
-  // than connections on either side, so that each job finds one to a machine, and a submitter that connects
-  // while all jobs are open is accepted and told, not left waiting in the kernel's queue.
-  const double by_memory = memory_mb * 1024 / 2 / 96;
-  const double by_sockets = static_cast<double>(half) * 0.95;
+  // Memory by what it is held for, at the worst on all sides at once: a quarter for commands being read, a
+  // quarter for open jobs with a value and half a one on its way, a quarter for answers not yet taken, and
+  // the last for the program, its tables and the allocator.
+  const double quarter = memory_mb * 1024 * 1024 / 4;
+  const auto reading = static_cast<double>(l.value + 2 * l.line);
+  l.submitters = std::max<std::size_t>(4, std::min(half, static_cast<std::size_t>(quarter / reading)));
+  const double each = quarter / static_cast<double>(l.submitters);
+  l.unsent = static_cast<std::size_t>(
+      std::clamp(each, static_cast<double>(l.line), static_cast<double>(l.unsent)));
+  // A little fewer jobs than connections on either side, so that each job finds one to a machine, and a
+  // submitter that connects while all jobs are open is accepted and told, not left waiting in the kernel's
+  // queue.
+  const double by_memory = quarter / (1.5 * static_cast<double>(l.value));
+  const double by_sockets = static_cast<double>(std::min(half, l.submitters)) * 0.95;
   l.jobs = static_cast<std::size_t>(
       std::max(1.0, std::min({by_memory, by_sockets, static_cast<double>(s.module.allowed.max_open)})));
+  // No submitter takes the whole table: what it sends beyond its part waits unread.
+  l.pipeline = std::clamp<std::size_t>(l.jobs / 4, 4, l.pipeline);
   l.max_attempts = std::max(1, s.module.allowed.max_attempts);
   if (s.module.allowed.connect_timeout > Duration(0)) l.connect = s.module.allowed.connect_timeout;
   if (s.conn_idle > Duration(0)) l.idle = s.conn_idle * 3 / 5;
   if (s.module.allowed.retry_after) l.max_retry_after = s.module.allowed.max_retry_after;
   Duration longest{0};
-  for (const auto& c : s.module.classes) longest = std::max(longest, Duration(c.deadline));
+  for (const auto& c : s.module.classes) {
+    longest = std::max(longest, Duration(c.deadline));
+    if (c.stream) l.answer = l.longest_wait;  // a streamed answer comes as it is made
+  }
   if (longest > Duration(0)) l.default_wait = longest;
   // News counts as told a little after a waiting call's end, come or not: no wait beyond half of what
   // the rules let a router go without asking.
--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -17,10 +17,12 @@
   std::size_t http_head = 16 * 1024;  // status line and headers of an HTTP answer
   std::size_t list = 8 << 20;         // a machine list
   std::size_t unsent = 1 << 20;       // answers waiting for one submitter; past it, it is not read
+  std::size_t discard = 80 << 20;     // read from a submitter after its last answer, and thrown away
 
   // Counts.
   std::size_t machines = 4096;    // in one list
   std::size_t pipeline = 128;     // commands of one submitter without their answer
+  std::size_t interim = 8;        // interim answers (1xx) before an answer
   std::size_t jobs = 2048;        // open at once
   std::size_t submitters = 480;   // connections held
   std::size_t claim_conns = 480;  // connections to machines, idle ones included
@@ -30,6 +32,15 @@
   Duration connect{std::chrono::milliseconds(200)};
   Duration idle{std::chrono::seconds(3)};           // a kept connection rests this long at most
   Duration probe{std::chrono::milliseconds(250)};   // a probe is answered within this, or failed
+  Duration speak{std::chrono::milliseconds(2500)};  // a submitter's command is whole within this
+  Duration rest{std::chrono::seconds(4)};           // a submitter with nothing open is kept this long
+  Duration hurry{
+      std::chrono::milliseconds(250)};        // in a full table, one that says nothing for this long goes
+  Duration hang_up{std::chrono::seconds(2)};  // after its last answer a submitter closes within this
+  Duration answer{std::chrono::milliseconds(500)};  // an answer begun is whole within this, or spoilt
+  Duration settle{
+      std::chrono::milliseconds(2)};          // what belongs to no claim comes within this of its answer
+  Duration forget{std::chrono::seconds(15)};  // a machine gone for this long is forgotten
   Duration write_stall{std::chrono::seconds(10)};   // a submitter that takes nothing for this long goes
   Duration default_wait{std::chrono::seconds(4)};   // of a job that states none
   Duration longest_wait{std::chrono::seconds(60)};  // of any job
--- a/src/core/ends.h
+++ b/src/core/ends.h
@@ -60,10 +60,11 @@
 };
 
 struct Machine {
-  std::string uid, endpoint;
+  std::string uid, endpoint;  // no uid: a number that no machine has
   bool origin = false;
   beechledge::Availability availability = beechledge::Availability::kRemoved;
-  Time since{0};  // when it was told to be as it is
+  Time since{0};    // when it was told to be as it is
+  Time started{0};  // its last start
 };
 
 // A back end: carries claims and probes to machines and reports each one's end to the engine exactly once,
@@ -77,6 +78,8 @@
   // reported for it.
   virtual bool Abandon(ClaimId claim) = 0;
   virtual void CloseIdle(MachineId machine) = 0;
+  // The machine is gone and nothing refers to it: its id may come to name another one.
+  virtual void Forget(MachineId machine) = 0;
 };
 
 // Discovery, as the engine asks for it.
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -72,7 +72,8 @@
   // One reading of the clock for both: were the module's deadline only a little later than the engine's, a
   // claim that times out with its job would look to it like one worth another attempt.
   const Time now = now_();
-  const JobId id = jobs_.Add({&front, ticket, std::move(job.content), now + wait, 0, false, {}});
+  by_id_.insert(job.content->id);
+  const JobId id = jobs_.Add({&front, ticket, std::move(job.content), now + wait, 0, false, {}, {}});
   request.id = id;
   ++counters_.jobs_in;
   ++open_jobs_;
@@ -117,7 +118,9 @@
 // Forgets a job once it is answered and none of its claims is out.
 void Engine::Release(JobId id) {
   const Job* job = jobs_.Find(id);
-  if (job != nullptr && job->ended && job->out.empty()) jobs_.Remove(id);
+  if (job == nullptr || !job->ended || !job->out.empty()) return;
+  by_id_.erase(job->content->id);
+  jobs_.Remove(id);
 }
 
 // ---- Claims ----
@@ -144,6 +147,7 @@
   if (a.timeout > Duration(0)) until = std::min(until, now + a.timeout);
   const ClaimId id = claims_.Add({a.id, a.server, attempt, now, {}});
   job->out.push_back(id);
+  job->asked.push_back(a.server);
   claims_.Find(id)->deadline = deadlines_.Set(until, [this, id] {
     GiveUp(id, Result::kTimeout);
     Pump();
@@ -272,16 +276,20 @@
   told.kind = kind;
   std::vector<bool> named(machines_.size());
   for (const MachineEntry& entry : list.entries) {
-    const auto [it, fresh] = by_uid_.emplace(entry.uid, static_cast<MachineId>(machines_.size()));
-    if (fresh) {
+    const bool reuse = !unused_.empty();
+    const auto [it, fresh] =
+        by_uid_.emplace(entry.uid, reuse ? unused_.back() : static_cast<MachineId>(machines_.size()));
+    const MachineId id = it->second;
+    if (fresh && reuse) {
+      unused_.pop_back();
+    } else if (fresh) {
       machines_.emplace_back();
       named.push_back(false);
     }
-    const MachineId id = it->second;
     named[id] = true;
     Machine& m = machines_[id];
-    // Kept connections lead to where it was.
-    const bool moved = !fresh && m.endpoint != entry.endpoint;
+    // Kept connections lead to where it was, or to the process that it was.
+    const bool moved = !fresh && (m.endpoint != entry.endpoint || m.started != entry.started);
     if (moved) BackOf(id).CloseIdle(id);
     if (fresh || m.availability != entry.availability) {
       m.since = now;
@@ -292,6 +300,7 @@
     }
     m.uid = entry.uid;
     m.endpoint = entry.endpoint;
+    m.started = entry.started;
     // Decided once: a claim must end at the back end that it began at.
     if (fresh) m.origin = settings_.origin_kind >= 0 && entry.kind == settings_.origin_kind;
     m.availability = entry.availability;
@@ -315,6 +324,31 @@
     if (machines_[id].availability == Availability::kRemoved) BackOf(id).CloseIdle(id);
   }
   Push(std::move(told));
+  Retire();
+}
+
+// Guards against tables that only grow: where machines are replaced all day, the gone ones would stay in
+// memory and in every loop over machines. One is forgotten, and its number free for another, once it has
+// been gone for a while and neither an open job nor a claim or probe refers to it.
+void Engine::Retire() {
+  const Time old = now_() - limits_.forget;
+  std::vector<bool> gone(machines_.size());
+  for (MachineId id = 0; id < machines_.size(); ++id) {
+    const Machine& m = machines_[id];
+    gone[id] = !m.uid.empty() && m.availability == Availability::kRemoved && m.since <= old;
+  }
+  if (std::find(gone.begin(), gone.end(), true) == gone.end()) return;
+  jobs_.Each([&](JobId, const Job& job) {
+    for (const MachineId id : job.asked) gone[id] = false;
+  });
+  claims_.Each([&](ClaimId, const Claim& claim) { gone[claim.machine] = false; });
+  for (MachineId id = 0; id < machines_.size(); ++id) {
+    if (!gone[id]) continue;
+    BackOf(id).Forget(id);
+    by_uid_.erase(machines_[id].uid);
+    machines_[id] = {};
+    unused_.push_back(id);
+  }
 }
 
 }  // namespace brasswood
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "base/clock.h"
@@ -33,6 +34,8 @@
   // returns.
   JobId Take(Front& front, std::uint64_t ticket, NewJob job);
   void SubmitterGone(JobId job);
+  // Is there a job of this id whose answer is owed or whose claim is out?
+  bool Holds(const std::string& id) const { return by_id_.contains(id); }
 
   // From the back ends. An id that has ended is passed over.
   void ClaimEnded(ClaimId claim, ClaimEnd end);
@@ -57,6 +60,7 @@
     int attempts = 0;
     bool ended = false;
     std::vector<ClaimId> out;
+    std::vector<MachineId> asked;
   };
   struct Claim {
     JobId job = 0;  // 0: a probe
@@ -85,6 +89,7 @@
   void Conclude(ClaimId id, ClaimEnd end);
   void AnswerJob(Job& job, const Answer& answer);
   void Release(JobId id);
+  void Retire();
   Back& BackOf(MachineId id) { return *(machines_[id].origin ? origin_ : nodes_); }
   void Take(const MachineList& list, beechledge::ListKind kind);
 
@@ -101,7 +106,9 @@
   Slots<Job> jobs_;
   Slots<Claim> claims_;
   std::vector<Machine> machines_;  // by MachineId
+  std::vector<MachineId> unused_;  // numbers of machines that were forgotten
   std::unordered_map<std::string, MachineId> by_uid_;
+  std::unordered_set<std::string> by_id_;  // the ids of the jobs in the table
   struct Queued {
     Time at;  // when it happened
     beechledge::Event event;
--- a/src/net/claim_pool.cpp
+++ b/src/net/claim_pool.cpp
@@ -37,16 +37,11 @@
 void ClaimPool::Begin(MachineId to, Errand errand) {
   const Machine* machine = engine_.FindMachine(to);
   const ClaimId claim = errand.claim;
-  std::vector<Place>& idle = idle_[to];
-  if (!idle.empty()) {
-    Connection& c = *idle.back();
-    idle.pop_back();
-    loop_.deadlines().Drop(c.deadline);
-    c.idle = false;
-    c.errand = std::move(errand);
-    busy_.emplace(claim, c.self);
+  if (Connection* c = Rested(to)) {
+    c->errand = std::move(errand);
+    busy_.emplace(claim, c->self);
     ++counters_.connections_reused;
-    return WriteErrand(c);
+    return WriteErrand(*c);
   }
   if (machine == nullptr || !MakeRoom()) {
     // No descriptor to spare: that is this router's lack, not the machine's, and nothing was sent.
@@ -67,6 +62,30 @@
   if (!Connect(c, *machine)) Break(c, Result::kConnectFailed);
 }
 
+// A resting connection that is fit for another claim, taken out of its rest; null if there is none.
+// Guards against what a machine sent beyond its answer: it would pass for the start of the next one. The
+// socket is looked at first, as the loop may not have read it yet, and one that has just answered is taken
+// only where no other rests: what trails an answer comes right behind it.
+ClaimPool::Connection* ClaimPool::Rested(MachineId machine) {
+  const auto at = idle_.find(machine);
+  if (at == idle_.end()) return nullptr;
+  std::vector<Place>& idle = at->second;
+  while (!idle.empty()) {
+    const Time settled = loop_.Now() - limits_.settle;
+    auto pick = std::find_if(idle.rbegin(), idle.rend(), [&](Place p) { return p->rested <= settled; });
+    Connection& c = pick == idle.rend() ? *idle.front() : **pick;
+    if (Unread(bufferevent_getfd(c.buffer.get()))) {
+      Drop(c);
+      continue;
+    }
+    std::erase(idle, c.self);
+    loop_.deadlines().Drop(c.deadline);
+    c.idle = false;
+    return &c;
+  }
+  return nullptr;
+}
+
 bool ClaimPool::Connect(Connection& c, const Machine& machine) {
   const auto address = ParseAddress(machine.endpoint);
   if (!address) return false;
@@ -137,13 +156,15 @@
   bool keep = true;
   switch (Parse(Gathered(c.buffer.get()), c.errand, used, end, keep)) {
     case Parsed::kMore:
+      if (c.deadline == Deadlines::Id()) AwaitRest(c, limits_.answer);
       return;
     case Parsed::kBad:
-      LogLine(Level::kWarn) << "bad answer from " << engine_.FindMachine(c.machine)->uid;
-      return Break(c, Result::kError);
+      LogLine(Level::kDebug) << "bad answer from " << engine_.FindMachine(c.machine)->uid;
+      return Break(c, Result::kSpoilt);
     case Parsed::kDone:
       break;
   }
+  loop_.deadlines().Drop(c.deadline);
   evbuffer_drain(bufferevent_get_input(c.buffer.get()), used);
   const ClaimId claim = c.errand.claim;
   const bool whole = LeftWhole(c) && evbuffer_get_length(bufferevent_get_input(c.buffer.get())) == 0;
@@ -155,6 +176,16 @@
   engine_.ClaimEnded(claim, std::move(end));
 }
 
+// Guards against an answer that states more than is sent: nothing else would tell until the job's time is
+// up, while a repeat may still serve it. What waits in the kernel is read first.
+void ClaimPool::AwaitRest(Connection& c, Duration wait) {
+  c.deadline = loop_.deadlines().Set(loop_.Now() + wait, [this, place = c.self] {
+    place->deadline = {};
+    if (Unread(bufferevent_getfd(place->buffer.get()))) return AwaitRest(*place, limits_.answer / 4);
+    Break(*place, Result::kSpoilt);
+  });
+}
+
 void ClaimPool::Rest(Connection& c) {
   // Guards against a machine that moved, or went, while this connection was at work: the next claim for it
   // must not go to where it was.
@@ -166,6 +197,7 @@
   c.errand = {};
   c.written = false;
   c.idle = true;
+  c.rested = loop_.Now();
   idle_[c.machine].push_back(c.self);
   c.deadline = loop_.deadlines().Set(loop_.Now() + limits_.idle, [this, place = c.self] {
     place->deadline = {};
@@ -205,6 +237,11 @@
   while (!it->second.empty()) Drop(*it->second.back());
 }
 
+void ClaimPool::Forget(MachineId machine) {
+  CloseIdle(machine);
+  idle_.erase(machine);
+}
+
 // Room for one more connection: where the budget is spent, an idle one of any pool makes way. (Each pool
 // once looked at its own alone, and idle connections to execute nodes could shut out the origin.)
 bool ClaimPool::MakeRoom() {
--- a/src/net/claim_pool.h
+++ b/src/net/claim_pool.h
@@ -33,6 +33,7 @@
   void Probe(ClaimId probe, MachineId to, bool load) override;
   bool Abandon(ClaimId claim) override;
   void CloseIdle(MachineId machine) override;
+  void Forget(MachineId machine) override;
 
  protected:
   struct Errand {  // what a connection is on
@@ -59,14 +60,17 @@
     bool up = false;
     bool written = false;  // the errand's bytes are in the buffer, or gone
     bool idle = false;
+    Time rested{0};  // since when, if idle
     Errand errand;
-    Deadlines::Id deadline;  // for coming up, or for resting
+    Deadlines::Id deadline;  // for coming up, for an answer begun, or for resting
   };
 
   void Begin(MachineId to, Errand errand);
   bool Connect(Connection& c, const Machine& machine);
   void WriteErrand(Connection& c);
   void OnRead(Connection& c);
+  Connection* Rested(MachineId machine);
+  void AwaitRest(Connection& c, Duration wait);
   void OnEvent(Connection& c, short what);
   void Rest(Connection& c);
   // Takes the connection away, and ends its errand with `result` if it has one.
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -5,7 +5,9 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <sys/socket.h>
 
+#include <cerrno>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -59,6 +61,12 @@
   std::vector<std::unique_ptr<Signal>> signals_;
 };
 
+// Does anything wait unread on this socket, be it bytes or the other side's close?
+inline bool Unread(evutil_socket_t fd) {
+  char byte;
+  return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 // All that a bufferevent has read, in one piece.
 inline std::string_view Gathered(bufferevent* b) {
   evbuffer* in = bufferevent_get_input(b);
--- a/src/net/submitter_front.cpp
+++ b/src/net/submitter_front.cpp
@@ -57,23 +57,35 @@
   MakeRoom();
 }
 
+// Which makes way first in a full table: those that have their last answer, then those that connected and
+// say nothing whole, then those that have served and rest. None that is owed an answer, and none that has
+// just connected: it is about to speak. -1: not this one.
+int SubmitterFront::WayRank(const Submitter& s, Time now) const {
+  if (s.shut) return 0;
+  if (!s.pending.empty() || evbuffer_get_length(bufferevent_get_output(s.buffer.get())) != 0) return -1;
+  if (s.partial != Time(0)) return now - s.partial > limits_.hurry ? 1 : -1;
+  if (!s.used) return now - s.active > limits_.hurry ? 1 : -1;
+  return 2;
+}
+
 // Guards against submitters' kept connections filling the table: what a full router does not accept waits
-// unread in the kernel, where it counts as taken. The one idle for longest makes way; should that cross a
-// command, its submitter sends it again.
+// unread in the kernel, where it counts as taken. Among equals the one idle for longest makes way; should
+// that cross a command that is on its way, its submitter sends it again. One that is here already is seen.
 void SubmitterFront::MakeRoom() {
   if (submitters_.size() < limits_.submitters) return;
-  // A connection just made is about to speak.
-  const Time settled = loop_.Now() - std::chrono::seconds(1);
-  std::uint64_t oldest = 0;
-  Time since{0};
+  const Time now = loop_.Now();
+  std::uint64_t chosen = 0;
+  std::pair<int, Time> least{3, Time(0)};
   submitters_.Each([&](std::uint64_t id, auto& s) {
-    const bool fresh = !s->used && s->active > settled;
-    if (fresh || !Idle(*s) || (oldest != 0 && s->active >= since)) return;
-    oldest = id;
-    since = s->active;
+    const std::pair<int, Time> at{WayRank(*s, now), s->active};
+    if (at.first < 0 || at >= least) return;
+    if (at.first > 0 && Unread(bufferevent_getfd(s->buffer.get()))) return;
+    chosen = id;
+    least = at;
   });
-  if (oldest != 0) return Close(oldest);
-  Pause();  // all are at work
+  if (chosen == 0) return Pause();  // all are at work
+  ++counters_.made_way;
+  Close(chosen);
 }
 
 // Accepts no more for a moment. Without it a loop that cannot accept would spin on the listener.
@@ -86,7 +98,7 @@
 
 bool SubmitterFront::Idle(const Submitter& s) {
   return s.pending.empty() && evbuffer_get_length(bufferevent_get_output(s.buffer.get())) == 0 &&
-         evbuffer_get_length(bufferevent_get_input(s.buffer.get())) == 0;
+         (s.closing || evbuffer_get_length(bufferevent_get_input(s.buffer.get())) == 0);
 }
 
 void SubmitterFront::Accept(evutil_socket_t fd) {
@@ -121,12 +133,13 @@
   const timeval patience{static_cast<time_t>(stall), 0};
   bufferevent_set_timeouts(s.buffer.get(), nullptr, &patience);
   bufferevent_enable(s.buffer.get(), EV_READ | EV_WRITE);
+  Await(s);
   MakeRoom();
 }
 
 bool SubmitterFront::Full(const Submitter& s) const {
   return s.pending.size() >= limits_.pipeline ||
-         evbuffer_get_length(bufferevent_get_output(s.buffer.get())) >= limits_.unsent;
+         s.held + evbuffer_get_length(bufferevent_get_output(s.buffer.get())) >= limits_.unsent;
 }
 
 void SubmitterFront::Read(Submitter& s) {
@@ -140,7 +153,13 @@
     std::size_t used = 0;
     Command command;
     const Parsed got = ParseCommand(Gathered(s.buffer.get()), limits_, used, command);
-    if (got == Parsed::kMore) break;
+    if (got == Parsed::kMore) {
+      const bool begun = evbuffer_get_length(bufferevent_get_input(s.buffer.get())) != 0;
+      if (!begun) s.partial = Time(0);
+      if (begun && s.partial == Time(0)) s.partial = loop_.Now();
+      break;
+    }
+    s.partial = Time(0);
     if (got == Parsed::kBad) {
       ++counters_.bad_commands;
       s.closing = true;
@@ -174,17 +193,27 @@
 }
 
 void SubmitterFront::Begin(Submitter& s, JobContent content) {
+  NewJob job;
+  std::string error = DescribeJob(std::move(content), names_, limits_, job);
+  // Guards against two jobs of one id: the answers of machines are told apart by it, and the first job's
+  // submitter, perhaps another one, must be served as if nothing had happened.
+  if (error.empty() && engine_.Holds(job.content->id)) error = "this id is in use";
+  if (!error.empty()) {
+    ++counters_.bad_commands;
+    return Reply(s, "CLIENT_ERROR " + error + "\r\n");
+  }
   Pending pending;
-  pending.id = content.id;
+  pending.id = job.content->id;
   const std::uint64_t number = s.first + s.pending.size();
   s.pending.push_back(std::move(pending));
   const std::uint64_t ticket = tickets_.Add({s.id, number});
-  const JobId job = engine_.Take(*this, ticket, DescribeJob(std::move(content), names_, limits_));
-  if (job == 0) return Deliver(ticket, {AnswerKind::kRefused, {}, limits_.max_retry_after / 4});
-  if (tickets_.Find(ticket) != nullptr) s.pending[number - s.first].job = job;
+  const JobId id = engine_.Take(*this, ticket, std::move(job));
+  if (id == 0) return Deliver(ticket, {AnswerKind::kRefused, {}, limits_.max_retry_after / 4});
+  if (tickets_.Find(ticket) != nullptr) s.pending[number - s.first].job = id;
 }
 
 void SubmitterFront::Reply(Submitter& s, std::string text) {
+  s.held += text.size();
   s.pending.push_back({0, {}, true, std::move(text)});
   Flush(s);
 }
@@ -201,6 +230,7 @@
   AppendAnswer(pending.text, pending.id, answer, limits_);
   pending.answered = true;
   pending.job = 0;
+  s.held += pending.text.size();
   Flush(s);
 }
 
@@ -210,6 +240,7 @@
   while (!s.pending.empty() && s.pending.front().answered) {
     const std::string& text = s.pending.front().text;
     bufferevent_write(s.buffer.get(), text.data(), text.size());
+    s.held -= text.size();
     s.pending.pop_front();
     ++s.first;
   }
@@ -229,13 +260,77 @@
     bufferevent_enable(s.buffer.get(), EV_READ);
     return Read(s);
   }
+  if (s.closing) return HangUp(s);
   // While draining, a connection closes once it has fallen idle; a new one is first let speak. (libevent
   // reports a fresh connection's empty output as written, which used to close it before its first command.)
-  if (s.closing) {  // what it sent after the end is not read any more
+  if (draining_ && s.used && Idle(s)) return Close(id);
+  Await(s);
+}
+
+// Guards against submitters that hold a place and say nothing, or half a command: a command must be whole
+// soon after its connection, or its own first byte, came; and a connection at rest is given back.
+void SubmitterFront::Await(Submitter& s) {
+  loop_.deadlines().Drop(s.deadline);
+  // One that is owed an answer, or takes its time with one, is not silent.
+  if (!s.pending.empty() || evbuffer_get_length(bufferevent_get_output(s.buffer.get())) != 0) return;
+  const Time at = !s.used                ? s.active + limits_.speak
+                  : s.partial != Time(0) ? s.partial + limits_.speak
+                                         : loop_.Now() + limits_.rest;
+  s.deadline = loop_.deadlines().Set(at, [this, id = s.id] { Expire(id); });
+}
+
+void SubmitterFront::Expire(std::uint64_t id) {
+  Submitter& s = **submitters_.Find(id);
+  s.deadline = {};
+  // A loop that runs late finds deadlines due before it has read what came in time.
+  if (Unread(bufferevent_getfd(s.buffer.get()))) {
+    s.deadline =
+        loop_.deadlines().Set(loop_.Now() + std::chrono::milliseconds(50), [this, id] { Expire(id); });
+    return;
+  }
+  if (s.partial == Time(0)) {
+    counters_.silent += !s.used;
+    return Close(id);
+  }
+  ++counters_.silent;
+  s.closing = true;
+  Reply(s, "CLIENT_ERROR command not ended in time\r\n");
+}
+
+// Ends a connection whose framing is lost, or that asked for it. Guards against errors that never arrive:
+// closing a socket with unread input sends a reset, which can destroy the answer on its way. So what still
+// comes is read and thrown away, the answers go out, the sending is shut, and the socket closes when the
+// submitter does, or a while later.
+void SubmitterFront::HangUp(Submitter& s) {
+  if (!s.discard) {
+    bufferevent_disable(s.buffer.get(), EV_READ);
     evbuffer* in = bufferevent_get_input(s.buffer.get());
     evbuffer_drain(in, evbuffer_get_length(in));
+    s.discard.reset(event_new(
+        loop_.base(), bufferevent_getfd(s.buffer.get()), EV_READ | EV_PERSIST,
+        [](evutil_socket_t, short, void* p) {
+          static_cast<Submitter*>(p)->front->Discard(*static_cast<Submitter*>(p));
+        },
+        &s));
+    event_add(s.discard.get(), nullptr);
+    loop_.deadlines().Drop(s.deadline);
   }
-  if (Idle(s) && (s.closing || (draining_ && s.used))) Close(id);
+  if (s.shut || !Idle(s)) return;
+  s.shut = true;
+  ::shutdown(bufferevent_getfd(s.buffer.get()), SHUT_WR);
+  s.deadline = loop_.deadlines().Set(loop_.Now() + limits_.hang_up, [this, id = s.id] { Close(id); });
+}
+
+// MSG_TRUNC lets the kernel drop the bytes without a copy: tens of megabytes may come.
+void SubmitterFront::Discard(Submitter& s) {
+  constexpr std::size_t kAtOnce = 1 << 20;
+  const ssize_t n = ::recv(bufferevent_getfd(s.buffer.get()), nullptr, kAtOnce, MSG_TRUNC | MSG_DONTWAIT);
+  if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return;
+  if (n <= 0) return Close(s.id);
+  s.discarded += static_cast<std::size_t>(n);
+  if (s.discarded <= limits_.discard) return;
+  if (s.shut) return Close(s.id);
+  event_del(s.discard.get());  // it is still owed an answer: the rest waits in the kernel
 }
 
 void SubmitterFront::Close(std::uint64_t id) {
@@ -243,6 +338,8 @@
   if (held == nullptr) return;
   const std::unique_ptr<Submitter> s = std::move(*held);
   submitters_.Remove(id);
+  loop_.deadlines().Drop(s->deadline);
+  s->discard.reset();
   s->buffer.reset();
   for (const Pending& pending : s->pending) {
     if (pending.job != 0) engine_.SubmitterGone(pending.job);
--- a/src/net/submitter_front.h
+++ b/src/net/submitter_front.h
@@ -46,11 +46,17 @@
     BufferPtr buffer;
     std::deque<Pending> pending;
     std::uint64_t first = 0;  // the number of the front of `pending`
-    Time active{0};           // when it last sent a command
+    std::size_t held = 0;     // bytes of answers in `pending` that wait for one before them
+    Time active{0};           // when it last sent a command, or connected
+    Time partial{0};          // since when it has been sending a command; 0: it is not
     bool used = false;        // has sent a command
-    bool closing = false;     // reads no more, and closes when all is answered
+    bool closing = false;     // its commands count no more, and it closes when all is answered
+    bool shut = false;        // all is answered, and it has been told that no more comes
     bool paused = false;      // not read until it has taken some answers
     bool woken = false;       // a turn of Wake is due
+    EventPtr discard;         // of one that is closing: reads on and throws away
+    std::size_t discarded = 0;
+    Deadlines::Id deadline;  // for its next command, or for its own close
   };
   struct Ticket {  // where a job's answer goes
     std::uint64_t submitter = 0;
@@ -69,6 +75,11 @@
   void Flush(Submitter& s);
   bool Full(const Submitter& s) const;
   void Wake(std::uint64_t id);
+  void Await(Submitter& s);
+  void Expire(std::uint64_t id);
+  void HangUp(Submitter& s);
+  void Discard(Submitter& s);
+  int WayRank(const Submitter& s, Time now) const;
   void Close(std::uint64_t id);
   void CheckDrained(bool quiet_before);
 
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cctype>
-#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -69,8 +68,11 @@
 
 }  // namespace
 
-Parsed ParseHttpAnswer(std::string_view in, std::size_t most_body, const Limits& limits, std::size_t& used,
-                       HttpAnswer& answer) {
+namespace {
+
+// One head: interim ones, which have no body, are told by their status.
+Parsed ParseHead(std::string_view in, std::size_t most_body, const Limits& limits, std::size_t& used,
+                 HttpAnswer& answer) {
   answer = {};
   const std::size_t head_end = in.substr(0, limits.http_head + 4).find("\r\n\r\n");
   if (head_end == in.npos) return in.size() >= limits.http_head + 4 ? Parsed::kBad : Parsed::kMore;
@@ -78,7 +80,7 @@
   if (!head.starts_with("HTTP/1.") || head.size() < 12 || head[8] != ' ') return Parsed::kBad;
   answer.keep = head[7] != '0';
   const auto status = WholeNumber(head.substr(9, 3));
-  if (!status || *status < 200 || *status > 599) return Parsed::kBad;
+  if (!status || *status < 100 || *status > 599) return Parsed::kBad;
   answer.status = static_cast<int>(*status);
   std::optional<std::uint64_t> length;
   bool chunked = false;
@@ -107,7 +109,7 @@
     }
   }
   const std::size_t at = head_end + 4;
-  if (answer.status == 204 || answer.status == 304) {
+  if (answer.status < 200 || answer.status == 204 || answer.status == 304) {
     used = at;
     return Parsed::kDone;
   }
@@ -119,6 +121,27 @@
   return Parsed::kDone;
 }
 
+}  // namespace
+
+// Interim answers (1xx) may stand before the answer and say nothing of it. They are passed over, but not
+// without end; a change of protocols was never asked for.
+Parsed ParseHttpAnswer(std::string_view in, std::size_t most_body, const Limits& limits, std::size_t& used,
+                       HttpAnswer& answer) {
+  std::size_t at = 0;
+  for (std::size_t n = 0; n <= limits.interim; ++n) {
+    std::size_t taken = 0;
+    const Parsed got = ParseHead(in.substr(at), most_body, limits, taken, answer);
+    if (got != Parsed::kDone) return got;
+    at += taken;
+    if (answer.status == 101) return Parsed::kBad;
+    if (answer.status >= 200) {
+      used = at;
+      return Parsed::kDone;
+    }
+  }
+  return Parsed::kBad;
+}
+
 std::string WriteGet(std::string_view host, std::string_view path) {
   std::string out = "GET ";
   out.append(path).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n\r\n");
@@ -140,7 +163,7 @@
   if (end.result != Result::kOk) return end;
   // A receipt goes out as one word of a line; one that is none must not break that line.
   if (job.write && (!IsWord(answer.body) || answer.body.size() > 1024)) {
-    end.result = Result::kError;
+    end.result = Result::kSpoilt;
   } else {
     end.body = std::move(answer.body);
   }
@@ -156,12 +179,10 @@
     const std::size_t cut = rest.find(',');
     const std::string_view figure = Trim(rest.substr(0, cut));
     const std::size_t equals = figure.find('=');
-    double value = 0;
-    if (equals != figure.npos &&
-        std::from_chars(figure.data() + equals + 1, figure.data() + figure.size(), value).ec ==
-            std::errc()) {
+    const auto value = equals == figure.npos ? std::nullopt : Figure(figure.substr(equals + 1));
+    if (value) {
       if (!end.report) end.report.emplace();
-      SetReport(*end.report, figure.substr(0, equals), value);
+      SetReport(*end.report, figure.substr(0, equals), *value);
     }
     rest.remove_prefix(cut == rest.npos ? rest.size() : cut + 1);
   }
--- a/src/protocol/http.h
+++ b/src/protocol/http.h
@@ -19,8 +19,8 @@
   std::string body;
 };
 
-// One answer with Content-Length or in chunks. A body that only the connection's end bounds is bad: a cut
-// one could not be told from a whole one.
+// One answer with Content-Length or in chunks, interim ones before it passed over. A body that only the
+// connection's end bounds is bad: a cut one could not be told from a whole one.
 Parsed ParseHttpAnswer(std::string_view in, std::size_t most_body, const Limits& limits, std::size_t& used,
                        HttpAnswer& answer);
 
--- a/src/protocol/meta.cpp
+++ b/src/protocol/meta.cpp
@@ -29,6 +29,8 @@
   return Parsed::kDone;
 }
 
+constexpr std::size_t kLabels = 64;  // of one command; more is no list that a client writes
+
 int IndexOf(const std::vector<std::string>& names, std::string_view name) {
   const auto it = std::find(names.begin(), names.end(), name);
   return it == names.end() ? -1 : static_cast<int>(it - names.begin());
@@ -46,14 +48,21 @@
   }
 }
 
-// The flags of a job's command: O and P are used, the others passed over.
+// The flags of a job's command: O and P are used, the others passed over. One that comes twice must say the
+// same twice: which of two ids or label lists its submitter means, nobody can tell.
 void TakeFlags(std::string_view rest, Command& c) {
+  bool id = false, labels = false;
+  const auto take = [&c](std::string_view value, std::string& to, bool& taken) {
+    if (taken && to != value) c.error = "flags that disagree";
+    to = value;
+    taken = true;
+  };
   while (!rest.empty()) {
     const std::string_view flag = NextWord(rest);
     if (flag.empty()) continue;
     if (!IsWord(flag)) c.error = "bad flag";
-    if (flag[0] == 'O') c.content.id = flag.substr(1);
-    if (flag[0] == 'P') c.content.labels = flag.substr(1);
+    if (flag[0] == 'O') take(flag.substr(1), c.content.id, id);
+    if (flag[0] == 'P') take(flag.substr(1), c.content.labels, labels);
   }
   if (c.content.id.empty() && c.error.empty()) c.error = "no id";
 }
@@ -98,29 +107,37 @@
   return Parsed::kDone;
 }
 
-NewJob DescribeJob(JobContent content, const Names& names, const Limits& limits) {
-  NewJob job;
+// Guards against running what its submitter cannot have meant. A machine turns such a command away or
+// closes on it, which would look like the machine's fault and cost other jobs their tries.
+std::string DescribeJob(JobContent content, const Names& names, const Limits& limits, NewJob& job) {
+  job = {};
   job.wait = limits.default_wait;
+  std::string error;
+  std::vector<std::pair<std::string_view, std::string_view>> seen;
   EachLabel(content.labels, [&](std::string_view name, std::string_view value) {
+    for (const auto& [earlier, said] : seen) {
+      if (earlier == name && said != value) error = "labels that disagree";
+    }
+    if (seen.size() < kLabels) {
+      seen.emplace_back(name, value);
+    } else {
+      error = "too many labels";
+    }
     if (name == "c") job.job_class = IndexOf(names.classes, value);
     if (name == "t") job.tenant = std::max(0, IndexOf(names.tenants, value));
     if (name == "r") job.repeat = value == "1";
-    if (name == "size") {
-      double size = 0;
-      if (std::from_chars(value.data(), value.data() + value.size(), size).ec == std::errc()) {
-        job.size_hint = size;
-      }
-    }
+    if (name == "size") job.size_hint = Figure(value);  // a hint only: without it the job still runs
     if (name == "d") {
       const auto ms = WholeNumber(value);
       const auto most = std::chrono::duration_cast<std::chrono::milliseconds>(limits.longest_wait).count();
-      if (ms)
-        job.wait =
-            std::chrono::milliseconds(std::min<std::uint64_t>(*ms, static_cast<std::uint64_t>(most)));
+      if (!ms) error = "bad deadline";
+      job.wait = std::chrono::milliseconds(
+          std::min<std::uint64_t>(ms.value_or(0), static_cast<std::uint64_t>(most)));
     }
   });
+  if (error.empty() && job.job_class < 0) error = "unknown class";
   job.content = std::make_shared<const JobContent>(std::move(content));
-  return job;
+  return error;
 }
 
 void AppendAnswer(std::string& out, std::string_view id, const Answer& answer, const Limits& limits) {
@@ -243,11 +260,10 @@
     if (line == "END") return Parsed::kDone;
     if (NextWord(line) != "STAT") return Parsed::kBad;
     const std::string_view name = NextWord(line);
-    double value = 0;
-    if (std::from_chars(line.data(), line.data() + line.size(), value).ec != std::errc())
-      return Parsed::kBad;
+    const auto value = Figure(line);
+    if (!value) continue;  // a figure that cannot be read is one that was not stated
     if (!end.report) end.report.emplace();
-    SetReport(*end.report, name, value);
+    SetReport(*end.report, name, *value);
   }
   return Parsed::kBad;
 }
--- a/src/protocol/meta.h
+++ b/src/protocol/meta.h
@@ -26,8 +26,8 @@
 // One command. kBad: framing is lost, and `command.error` says why.
 Parsed ParseCommand(std::string_view in, const Limits& limits, std::size_t& used, Command& command);
 
-// The engine's view of a job, from its labels.
-NewJob DescribeJob(JobContent content, const Names& names, const Limits& limits);
+// The engine's view of a job, from its labels. Empty, or what is wrong with them: such a job must not run.
+std::string DescribeJob(JobContent content, const Names& names, const Limits& limits, NewJob& job);
 
 void AppendAnswer(std::string& out, std::string_view id, const Answer& answer, const Limits& limits);
 
@@ -36,7 +36,7 @@
 // `left`: how long the router will wait, which takes the place of `d`.
 std::string WriteClaim(const JobContent& job, Duration left);
 
-// The answer to a claim. kBad: it is not one, or not this claim's.
+// The answer to a claim. kBad: it is spoilt, or not this claim's.
 Parsed ParseClaimReply(std::string_view in, const JobContent& job, const Limits& limits, std::size_t& used,
                        ClaimEnd& end);
 
--- a/src/protocol/parse.h
+++ b/src/protocol/parse.h
@@ -25,6 +25,16 @@
   return n;
 }
 
+// A figure from outside. Guards against `nan`, `inf` and what is too large to reckon with: from_chars takes
+// them all, and one of them in a load or a size spoils every sum that it enters.
+inline std::optional<double> Figure(std::string_view text) {
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  if (!(value >= 0 && value <= 1e12)) return std::nullopt;
+  return value;
+}
+
 // Cuts the first word off `text`, which a single space ends.
 inline std::string_view NextWord(std::string_view& text) {
   const std::size_t end = text.find(' ');
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -263,5 +263,42 @@
   EXPECT_LE(d.come_back[0], seconds(2));
 }
 
+// Guards against taking a server for sick, and its keys elsewhere, for answers spoilt on their way.
+TEST(Lard, ASpoiltAnswerIsAskedForAgainWhereTheKeyIs) {
+  Driver d;
+  d.Servers(4);
+  const int home = d.Serve("a");
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(d.Ask("a"), home);
+    d.Ends(d.last_id, 0, Result::kSpoilt);
+    EXPECT_EQ(static_cast<int>(d.sends.back().send.server), home);  // may run again: it is a read
+    EXPECT_EQ(d.sends.back().attempt, 1);
+    d.Ends(d.last_id, 1, Result::kOk);
+    for (int n = 0; n < 3; ++n) EXPECT_EQ(d.Serve("a"), home);
+  }
+  d.Ask("a");
+  d.Ends(d.last_id, 0, Result::kSpoilt);
+  d.Ends(d.last_id, 1, Result::kSpoilt);
+  EXPECT_NE(static_cast<int>(d.sends.back().send.server), home);  // twice is enough
+  EXPECT_NE(d.Ask("p", 1), -1);
+  d.Ends(d.last_id, 0, Result::kSpoilt);
+  EXPECT_EQ(d.failed.back(), d.last_id);  // must never run twice, and has run
+}
+
+TEST(Lard, AServerUnderTheIdOfOneThatIsGoneInheritsNothing) {
+  Driver d;
+  d.Servers(3);
+  const int home = d.Serve("a");
+  ServerEntry gone = Up(static_cast<ServerId>(home));
+  gone.availability = Availability::kRemoved;
+  d.List(ListKind::kChanges, {gone});
+  const int other = d.Serve("a");
+  ServerEntry fresh = Up(static_cast<ServerId>(home));
+  fresh.name = "another";
+  d.List(ListKind::kChanges, {fresh});
+  d.Pass(milliseconds(1));
+  EXPECT_EQ(d.Serve("a"), other);  // the new one is not taken for a holder
+}
+
 }  // namespace
 }  // namespace beechledge::testing
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -63,6 +63,7 @@
     return left_whole;
   }
   void CloseIdle(MachineId) override {}
+  void Forget(MachineId machine) override { forgotten.push_back(machine); }
   void Follow(bool) override {}
   void FetchAll() override {}
 
@@ -71,6 +72,7 @@
   std::map<std::uint64_t, std::vector<AnswerKind>> answers;
   std::vector<std::pair<ClaimId, MachineId>> claims;
   std::vector<ClaimId> abandoned;
+  std::vector<MachineId> forgotten;
 };
 
 struct World {
@@ -203,6 +205,37 @@
   CHECK(w.counters.turned_away == 1);
 }
 
+TEST_CASE("an id is held while its job is open, and free again after") {
+  World w;
+  w.Take(7);
+  CHECK(w.engine->Holds("i"));
+  w.engine->ClaimEnded(w.ends.claims[0].first, {Result::kOk, {}, {}, "v"});
+  CHECK_FALSE(w.engine->Holds("i"));
+  const JobId job = w.Take(8);
+  w.engine->SubmitterGone(job);
+  CHECK_FALSE(w.engine->Holds("i"));
+}
+
+// Guards against tables that only grow where machines are replaced all day.
+TEST_CASE(
+    "machines that are gone are forgotten and their numbers used again, but none that is referred to") {
+  World w;
+  w.limits.forget = 50ms;
+  w.Take(7);  // at one of the two, and silent
+  const MachineId asked = w.ends.claims[0].second;
+  for (int n = 0; n < 100; ++n) {  // each list names one new machine alone
+    w.To(w.now + 100ms);
+    MachineList list;
+    list.entries.push_back({"new" + std::to_string(n), "127.0.0.1:1", 0, 0, 0, Availability::kUp, 1, 0s});
+    w.engine->Told(list);
+    if (n == 7) CHECK(w.engine->FindMachine(asked)->uid == (asked == 0 ? "s1" : "s2"));
+  }
+  CHECK(w.ends.forgotten.size() >= 95);
+  CHECK(w.engine->FindMachine(4) == nullptr);  // a handful of numbers did
+  w.Take(8);
+  CHECK(w.engine->FindMachine(w.ends.claims.back().second)->uid == "new99");
+}
+
 TEST_CASE("no first byte goes to a machine told to drain, past part of the grace") {
   World w;
   MachineList news;
