Say on SIGUSR1 also what is open now

Gauges of open jobs, submitters and machine connections beside the counters: what passes on the sockets could not be compared with what the router believes while it runs.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -41,8 +41,11 @@
       LogLine(Level::kError) << "configuration kept as it was: " << e.what();
     }
   });
-  loop.OnSignal(SIGUSR1, [&counters] { LogLine(Level::kInfo) << counters; });
   SubmitterFront front(loop, engine, limits, names, counters, config.listen);
+  loop.OnSignal(SIGUSR1, [&] {
+    LogLine(Level::kInfo) << counters << "; now open: jobs=" << engine.open_jobs()
+                          << " submitters=" << front.submitters() << " machine_connections=" << budget.open;
+  });
   const auto stop = [&] {
     LogLine(Level::kInfo) << config.name << " stops; open jobs: " << engine.open_jobs();
     front.Drain([&loop] { loop.Stop(); });
--- a/src/net/submitter_front.h
+++ b/src/net/submitter_front.h
@@ -31,6 +31,7 @@
   // nothing is left to answer.
   void Drain(std::function<void()> done);
 
+  std::size_t submitters() const { return submitters_.size(); }
   std::uint16_t port() const;  // that it listens on
 
  private:
--- a/tests/net/router_test.cpp
+++ b/tests/net/router_test.cpp
@@ -429,6 +429,7 @@
   CHECK(submitter.Line() == "ERROR\r\n");
   REQUIRE(::kill(router.process.pid, SIGUSR1) == 0);
   CHECK(router.process.err.Until("submitters=1 jobs_in=0 turned_away=0 bad_commands=1 ").size() > 0);
+  CHECK(router.process.err.Until("; now open: jobs=0 submitters=1 machine_connections=0\n").size() > 0);
 }
 
 TEST_CASE("a bad machine list is refused whole and logged, and the old one stays") {
