Take back overdue attempts once; resets strike no streak and keep keys at home

Now (choice.cpp): FindOverdue, on a timer of 25 ms, takes a repeatable attempt back once when it has been out for 1.5 times the slowest usual answer and a quarter of its aim, while another can still be in time and the retry budget lasts. One that went astray (spoilt, reset, or overdue at a server that has answered others since) is asked for again where the key is, and counts in a server's failure share, not in a streak. Patience follows the aim. A resting connection is preferred once it has rested 25 ms (Limits::settle).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -37,9 +37,14 @@
 constexpr double kEjectCap = 0.4;             // at most this share of the listed servers is ejected
 constexpr Duration kEjectFirst = seconds(1);  // first ejection; doubles up to kEjectMost
 constexpr Duration kEjectMost = seconds(8);
-constexpr Duration kSilentLeast = milliseconds(400);  // longer than a pause of a sound server
+// No server is silent and no attempt overdue before this share of an aim, and no server later than the time
+// beside it for want of evidence: longer than a pause of a sound server, short enough for another attempt.
+constexpr double kPatienceShare = 0.25;
+constexpr Duration kSilentLeast = milliseconds(400);
 constexpr int kSilentFrom =
     3;  // requests out from which on silence tells of the server, not of one request
+constexpr Duration kWatchStep = milliseconds(25);  // how often silence and overdue attempts are looked for
+constexpr double kPatience = 1.5;  // an attempt is overdue after this many times the slowest usual answer
 constexpr double kRetryBudget =
     0.2;  // further attempts per request, on average; a burst of kRetryBurst at most
 constexpr double kRetryBurst = 10;
@@ -131,8 +136,9 @@
   std::uint32_t life = 0;  // counts restarts: what it held before is gone
 
   int inflight = 0;
-  Time heard{0};  // when it last answered anything, or was given work while it had none
-  Smoothed load;  // of own in-flight
+  Time heard{0};      // when it last answered anything, or was given work while it had none
+  Time answered{-1};  // when it last answered anything
+  Smoothed load;      // of own in-flight
   LoadReport report;
   Time report_at{-1};
 
@@ -159,7 +165,10 @@
   bool fetch = false;  // a miss is likely: the origin will be asked
   bool out = true;
   bool may_have_run = true;
-  bool spoilt = false;  // it was answered, and the answer could not be read
+  bool overdue = false;  // taken back for taking too long
+  // It ended by something on its way, a spoilt answer or a broken or silent connection, while its server
+  // was at work for others.
+  bool astray = false;
 };
 
 struct Request {
@@ -181,11 +190,11 @@
     return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.may_have_run; });
   }
   // Has this server failed it? Guards against leaving a key's holder, and fetching what it holds, for one
-  // answer spoilt on its way; a second one counts.
+  // attempt that went astray; a second one counts.
   bool Tried(ServerId s) const {
-    int spoilt = 0;
+    int astray = 0;
     return std::any_of(attempts.begin(), attempts.end(),
-                       [&](const Attempt& a) { return a.server == s && (!a.spoilt || ++spoilt > 1); });
+                       [&](const Attempt& a) { return a.server == s && (!a.astray || ++astray > 1); });
   }
 };
 
@@ -227,7 +236,7 @@
   std::unordered_map<std::uint64_t, std::list<Entry>::iterator> index_;
 };
 
-enum class TimerKind { kDeadline, kHedge, kHeld, kAsk };
+enum class TimerKind { kDeadline, kHedge, kHeld, kAsk, kWatch };
 
 }  // namespace
 
@@ -238,6 +247,7 @@
     set_.allowed.max_attempts = std::max(1, set_.allowed.max_attempts);
     set_.rules.cold_from = std::clamp(set_.rules.cold_from, 0.0, 1.0);
     set_.rules.ramp = std::max(set_.rules.ramp, Duration(1));
+    for (const RequestClass& c : set_.classes) longest_aim_ = std::max(longest_aim_, c.aim);
   }
 
   void Handle(Time now, const Event& event, Actions& out) {
@@ -293,12 +303,13 @@
 
   // ---- Health: outcomes against those of the peers ----
 
-  // A spoilt answer counts in the share but not in a streak: the server works, and a few of them by chance
-  // must not take it out.
-  void Judge(Server& s, bool failed, bool hard, bool spoilt = false) {
+  // An attempt that went astray counts in the share but not in a streak: the server works, and a few of
+  // them by chance must not take it out. (Resets on all servers alike once filled kEjectCap, and a server
+  // that hung stayed in.)
+  void Judge(Server& s, bool failed, bool hard, bool astray = false) {
     s.failure_share += kHealthStep * ((failed ? 1 : 0) - s.failure_share);
     fleet_failure_ += kHealthStep / 10 * ((failed ? 1 : 0) - fleet_failure_);
-    if (!spoilt) s.failure_streak = failed ? s.failure_streak + 1 : 0;
+    if (!astray) s.failure_streak = failed ? s.failure_streak + 1 : 0;
     if (s.ejected && now_ >= s.ejected_until) {
       if (!failed) {  // half-open, and it answered
         s.ejected = false;
@@ -314,7 +325,7 @@
     }
     const bool worse_than_peers = s.failure_share > 2 * fleet_failure_ + 0.1;
     if (!s.ejected && worse_than_peers &&
-        (s.failure_share > kEjectShare || (!spoilt && s.failure_streak >= kEjectStreak) ||
+        (s.failure_share > kEjectShare || (!astray && s.failure_streak >= kEjectStreak) ||
          (hard && s.failure_streak >= 2))) {
       Eject(s);
     }
@@ -333,6 +344,10 @@
     s.ejected_until = now_ + FromSeconds(std::min(spell, Seconds(kEjectMost)) * (1 + 0.2 * Uniform()));
     ++s.ejections;
   }
+  // The least patience that an aim leaves. (A fixed time was longer than the whole aim where all is quick.)
+  static Duration PatienceFrom(Duration aim) {
+    return aim > Duration(0) ? FromSeconds(kPatienceShare * Seconds(aim)) : kSilentLeast;
+  }
   // Guards against servers that take requests and answer none. Their requests would be found out only as
   // the clients give up, far too late for another try. A busy server that has said nothing for several
   // times a usual answer is ejected at once, and what it was to answer goes elsewhere where a repeat is
@@ -340,7 +355,7 @@
   // are slow the measure grows with them.
   void FindSilent() {
     if (!times_.Known() || !set_.allowed.cancel) return;
-    const Duration most = std::max<Duration>(kSilentLeast, 2 * times_.Quantile(0.95));
+    const Duration most = std::max<Duration>(PatienceFrom(longest_aim_), 2 * times_.Quantile(0.95));
     for (ServerId id : up_) {
       Server& s = servers_[id];
       const bool trial = s.ejected && s.trials > 0;
@@ -353,8 +368,8 @@
   }
   // Cancels what is out at a server, the newest first: their clients wait longest.
   void TakeBack(ServerId id) {
-    std::vector<const Request*> there;
-    for (const auto& [key, r] : requests_) {
+    std::vector<Request*> there;
+    for (auto& [key, r] : requests_) {
       if (r.ended || r.streaming || r.out != 1 || ClassOf(r).effect != Effect::kSafe) continue;
       if (r.attempts.back().out && r.attempts.back().server == id) there.push_back(&r);
     }
@@ -362,11 +377,42 @@
       return a->arrived != b->arrived ? a->arrived > b->arrived : a->id > b->id;
     });
     double room = retry_tokens_;
-    for (const Request* r : there) {
+    for (Request* r : there) {
       if ((room -= 1) < 0) break;
+      r->attempts.back().overdue = true;
       out_->emplace_back(Cancel{r->id, static_cast<int>(r->attempts.size()) - 1});
     }
   }
+  // Guards against attempts that nothing will ever answer while their server answers others: the connection
+  // has fallen silent, and would be found out only as the client gives up. A safe request, or a keyed one
+  // within its rules, is taken back once, when it has been out for longer than answers ever take here,
+  // while another attempt can still be in time, and while the retry budget lasts: that keeps a tier that is
+  // merely slow from being sent everything twice. The origin goes on with what it was sent: it gets double
+  // the time, and keeps all while it is strained.
+  void FindOverdue() {
+    if (!times_.Known() || !set_.allowed.cancel) return;
+    const Duration slowest = FromSeconds(kPatience * Seconds(times_.Quantile(0.99)));
+    const Duration again = times_.Quantile(0.5);
+    double room = retry_tokens_;
+    for (auto& [key, r] : requests_) {
+      if (r.ended || r.streaming || r.out != 1 || !r.attempts.back().out) continue;
+      Attempt& a = r.attempts.back();
+      const Server& s = servers_[a.server];
+      const RequestClass& c = ClassOf(r);
+      const Duration out = now_ - a.sent, most = std::max(PatienceFrom(c.aim), slowest);
+      if (out < (IsOrigin(s) ? 2 * most : most) || (IsOrigin(s) && fetch_bad_ > kFetchBad)) continue;
+      if (std::any_of(r.attempts.begin(), r.attempts.end(), [](const Attempt& o) { return o.overdue; }))
+        continue;
+      if (static_cast<int>(r.attempts.size()) >= set_.allowed.max_attempts) continue;
+      const bool keyed = c.effect == Effect::kKeyed && c.group == Group::kAll && out + again < c.window;
+      const Time last = c.aim > Duration(0) ? std::min(r.deadline, r.arrived + c.aim) : r.deadline;
+      if ((c.effect != Effect::kSafe && !keyed) || now_ + again >= last) continue;
+      if ((room -= 1) < 0) break;
+      a.overdue = true;
+      a.astray = s.answered > a.sent;
+      out_->emplace_back(Cancel{r.id, static_cast<int>(r.attempts.size()) - 1});
+    }
+  }
   bool Healthy(const Server& s) const { return !s.ejected || (now_ >= s.ejected_until && s.trials == 0); }
 
   // ---- The LARD choice ----
@@ -650,6 +696,8 @@
     retry_tokens_ = std::min(kRetryBurst, retry_tokens_ + kRetryBudget);
     SetRequestTimer(TimerKind::kDeadline, r.id, r.deadline);
     FindSilent();
+    if (!watching_) SetRequestTimer(TimerKind::kWatch, 0, now_ + kWatchStep);
+    watching_ = true;
     Dispatch(r);
     Forget(it);
   }
@@ -671,10 +719,10 @@
     const auto i = static_cast<std::size_t>(e.attempt);
     if (e.attempt < 0 || i >= r.attempts.size() || !r.attempts[i].out) return;
     Attempt& a = r.attempts[i];
-    if (e.result != Result::kTimeout && e.result != Result::kCancelled) s.heard = now_;
+    if (e.result != Result::kTimeout && e.result != Result::kCancelled) s.heard = s.answered = now_;
     a.out = false;
     a.may_have_run = !NeverRan(e.result);
-    a.spoilt = e.result == Result::kSpoilt;
+    a.astray |= e.result == Result::kSpoilt || e.result == Result::kReset;
     --r.out;
     CountInflight(s, -1);
     if (s.trials > 0) --s.trials;
@@ -746,10 +794,10 @@
         Judge(s, true, false);
         break;
       case Result::kSpoilt:
+      case Result::kReset:
         Judge(s, true, false, true);
         break;
       case Result::kConnectFailed:
-      case Result::kReset:
         Judge(s, true, true);
         break;
       case Result::kFull:  // overload is not ill health; what was turned away counts as load, or it would
@@ -757,6 +805,8 @@
         s.load.value += typical_ / Seconds(kLoadTau);
         break;
       case Result::kCancelled:
+        if (a.overdue && !a.astray) Judge(s, true, false);  // it has answered nobody since
+        break;
       case Result::kMoot:
         break;
     }
@@ -801,6 +851,13 @@
       return ReleaseHeld();
     }
     if (kind == TimerKind::kAsk) return Ask();
+    if (kind == TimerKind::kWatch) {
+      FindSilent();
+      FindOverdue();
+      watching_ = !requests_.empty();
+      if (watching_) SetRequestTimer(TimerKind::kWatch, 0, now_ + kWatchStep);
+      return;
+    }
     const auto it = requests_.find(id);
     if (it == requests_.end() || it->second.ended || it->second.streaming) return;
     Request& r = it->second;
@@ -897,6 +954,7 @@
   std::vector<Server> servers_;  // by ServerId
   std::vector<ServerId> up_;     // those listed as up
   std::vector<double> loads_;    // scratch of Choose
+  Duration longest_aim_{0};
   int warm_ = 1;
   std::size_t origins_ = 0;
   double fleet_failure_ = 0;
@@ -905,7 +963,7 @@
   KeyTable keys_;
   std::unordered_map<RequestId, Request> requests_;
   std::vector<RequestId> held_;
-  bool held_timer_ = false;
+  bool held_timer_ = false, watching_ = false;
   std::unordered_map<std::uint64_t, std::pair<TimerKind, RequestId>> timers_;
   std::uint64_t last_token_ = 0;
   Times times_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -61,19 +61,20 @@
   const double reserve = std::min(48.0, sockets / 4);
   const auto half = static_cast<std::size_t>(std::max(4.0, (sockets - reserve) / 2));
   l.claim_conns = half;
-  // Memory by what it is held for, at the worst on all sides at once: a quarter for commands being read, a
-  // quarter for open jobs with a value and half a one on its way, a quarter for answers not yet taken, and
-  // the last for the program, its tables and the allocator.
-  const double quarter = memory_mb * 1024 * 1024 / 4;
+  // Memory by what it is held for, at the worst on all sides at once: a quarter for commands being read,
+  // 36% for open jobs with a value and half a one on its way, 14% for answers not yet taken, and the last
+  // quarter for the program, its tables and the allocator.
+  const double memory = memory_mb * 1024 * 1024;
   const auto reading = static_cast<double>(l.value + 2 * l.line);
-  l.submitters = std::max<std::size_t>(4, std::min(half, static_cast<std::size_t>(quarter / reading)));
-  const double each = quarter / static_cast<double>(l.submitters);
+  l.submitters =
+      std::max<std::size_t>(4, std::min(half, static_cast<std::size_t>(0.25 * memory / reading)));
+  const double each = 0.14 * memory / static_cast<double>(l.submitters);
   l.unsent = static_cast<std::size_t>(
       std::clamp(each, static_cast<double>(l.line), static_cast<double>(l.unsent)));
   // A little fewer jobs than connections on either side, so that each job finds one to a machine, and a
   // submitter that connects while all jobs are open is accepted and told, not left waiting in the kernel's
   // queue.
-  const double by_memory = quarter / (1.5 * static_cast<double>(l.value));
+  const double by_memory = 0.36 * memory / (1.5 * static_cast<double>(l.value));
   const double by_sockets = static_cast<double>(std::min(half, l.submitters)) * 0.95;
   l.jobs = static_cast<std::size_t>(
       std::max(1.0, std::min({by_memory, by_sockets, static_cast<double>(s.module.allowed.max_open)})));
--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -34,12 +34,11 @@
   Duration probe{std::chrono::milliseconds(250)};   // a probe is answered within this, or failed
   Duration speak{std::chrono::milliseconds(2500)};  // a submitter's command is whole within this
   Duration rest{std::chrono::seconds(4)};           // a submitter with nothing open is kept this long
-  Duration hurry{
-      std::chrono::milliseconds(250)};        // in a full table, one that says nothing for this long goes
-  Duration hang_up{std::chrono::seconds(2)};  // after its last answer a submitter closes within this
+  Duration hurry{std::chrono::milliseconds(250)};   // in a full table, a silent one goes after this
+  Duration hang_up{std::chrono::seconds(2)};        // after its last answer a submitter closes within this
   Duration answer{std::chrono::milliseconds(500)};  // an answer begun is whole within this, or spoilt
   Duration settle{
-      std::chrono::milliseconds(2)};          // what belongs to no claim comes within this of its answer
+      std::chrono::milliseconds(25)};         // what spoils a resting connection mostly comes this soon
   Duration forget{std::chrono::seconds(15)};  // a machine gone for this long is forgotten
   Duration write_stall{std::chrono::seconds(10)};   // a submitter that takes nothing for this long goes
   Duration default_wait{std::chrono::seconds(4)};   // of a job that states none
--- a/src/net/claim_pool.cpp
+++ b/src/net/claim_pool.cpp
@@ -65,7 +65,8 @@
 // A resting connection that is fit for another claim, taken out of its rest; null if there is none.
 // Guards against what a machine sent beyond its answer: it would pass for the start of the next one. The
 // socket is looked at first, as the loop may not have read it yet, and one that has just answered is taken
-// only where no other rests: what trails an answer comes right behind it.
+// only where no other rests: what trails an answer, a close too, comes right behind it, and a claim written
+// to a connection that is closing may have run for all this side can tell.
 ClaimPool::Connection* ClaimPool::Rested(MachineId machine) {
   const auto at = idle_.find(machine);
   if (at == idle_.end()) return nullptr;
