Let only a part of the submitters rest: clients that keep connections can ask again

Watched by SIGUSR1 every half second: from 2.6 s on each command came on a new connection, 146 to 167 submitters were held, nearly all of them used and at rest, and the jobs fell from 300 to 70 a second. A probe in MakeRoom found no moment at which nobody could make way. Ruled out: the pause of a full listener (never reached), silent connections (silent=0), CPU, origin.

At fault: Limits::rest (4 s) alone closed resting submitters, and MakeRoom acts only in a full table. The clients of one router may hold a third of the descriptors, 128, which is less than its table of 168: with 128 at rest they had no connection left to ask on.

Counted in made_way. The test fails without it: the first of 12 would rest its full time.

Conclusion: a connection at rest costs its client more than it costs the router.

--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -25,6 +25,7 @@
   std::size_t interim = 8;        // interim answers (1xx) before an answer
   std::size_t jobs = 2048;        // open at once
   std::size_t submitters = 480;   // connections held
+  std::size_t resting = 40;       // submitters with nothing open, past `brief`; the others give way
   std::size_t claim_conns = 480;  // connections to machines, idle ones included
   int max_attempts = 1;           // claims of one job
 
@@ -34,6 +35,8 @@
   Duration probe{std::chrono::milliseconds(250)};   // a probe is answered within this, or failed
   Duration speak{std::chrono::milliseconds(2500)};  // a submitter's command is whole within this
   Duration rest{std::chrono::seconds(4)};           // a submitter with nothing open is kept this long
+  Duration brief{
+      std::chrono::milliseconds(50)};  // a submitter that was answered may rest this long at least
   Duration hurry{std::chrono::milliseconds(250)};   // in a full table, a silent one goes after this
   Duration hang_up{std::chrono::seconds(2)};        // after its last answer a submitter closes within this
   Duration answer{std::chrono::milliseconds(500)};  // an answer begun is whole within this, or spoilt
--- a/src/net/submitter_front.cpp
+++ b/src/net/submitter_front.cpp
@@ -169,6 +169,7 @@
     evbuffer_drain(bufferevent_get_input(s.buffer.get()), used);
     s.used = true;
     s.active = loop_.Now();
+    Rouse(s);
     switch (command.verb) {
       case Verb::kJob:
         Begin(s, std::move(command.content));
@@ -276,9 +277,44 @@
   const Time at = !s.used                ? s.active + limits_.speak
                   : s.partial != Time(0) ? s.partial + limits_.speak
                                          : loop_.Now() + limits_.rest;
+  if (s.used && s.partial == Time(0)) Rest(s);
   s.deadline = loop_.deadlines().Set(at, [this, id = s.id] { Expire(id); });
 }
 
+// Guards against clients that take a new connection for each command and keep the old ones: they may hold
+// only so many, and with all of those at rest they have none left to ask on. So only a part of the table
+// may rest; past it the one that has rested longest is closed, soon after its answer.
+void SubmitterFront::Rest(Submitter& s) {
+  if (s.resting) return;
+  s.resting = true;
+  s.rested = loop_.Now();
+  s.place = resting_.insert(resting_.end(), s.id);
+  if (resting_.size() > limits_.resting && trim_ == Deadlines::Id()) Trim();
+}
+
+void SubmitterFront::Rouse(Submitter& s) {
+  if (s.resting) resting_.erase(s.place);
+  s.resting = false;
+}
+
+void SubmitterFront::Trim() {
+  trim_ = {};
+  while (resting_.size() > limits_.resting) {
+    Submitter& s = **submitters_.Find(resting_.front());
+    const Time due = s.rested + limits_.brief;
+    if (due > loop_.Now()) {
+      trim_ = loop_.deadlines().Set(due, [this] { Trim(); });
+      return;
+    }
+    if (Unread(bufferevent_getfd(s.buffer.get()))) {  // it is about to be read
+      Rouse(s);
+      continue;
+    }
+    ++counters_.made_way;
+    Close(s.id);
+  }
+}
+
 void SubmitterFront::Expire(std::uint64_t id) {
   Submitter& s = **submitters_.Find(id);
   s.deadline = {};
@@ -303,6 +339,7 @@
 // submitter does, or a while later.
 void SubmitterFront::HangUp(Submitter& s) {
   if (!s.discard) {
+    Rouse(s);
     bufferevent_disable(s.buffer.get(), EV_READ);
     evbuffer* in = bufferevent_get_input(s.buffer.get());
     evbuffer_drain(in, evbuffer_get_length(in));
@@ -339,6 +376,7 @@
   const std::unique_ptr<Submitter> s = std::move(*held);
   submitters_.Remove(id);
   loop_.deadlines().Drop(s->deadline);
+  Rouse(*s);
   s->discard.reset();
   s->buffer.reset();
   for (const Pending& pending : s->pending) {
--- a/src/net/submitter_front.h
+++ b/src/net/submitter_front.h
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
 
@@ -57,6 +58,9 @@
     bool woken = false;       // a turn of Wake is due
     EventPtr discard;         // of one that is closing: reads on and throws away
     std::size_t discarded = 0;
+    std::list<std::uint64_t>::iterator place;  // in resting_, if `resting`
+    bool resting = false;
+    Time rested{0};          // since when
     Deadlines::Id deadline;  // for its next command, or for its own close
   };
   struct Ticket {  // where a job's answer goes
@@ -77,6 +81,9 @@
   bool Full(const Submitter& s) const;
   void Wake(std::uint64_t id);
   void Await(Submitter& s);
+  void Rest(Submitter& s);
+  void Rouse(Submitter& s);
+  void Trim();
   void Expire(std::uint64_t id);
   void HangUp(Submitter& s);
   void Discard(Submitter& s);
@@ -93,6 +100,8 @@
   bool listening_ = true;
   Slots<std::unique_ptr<Submitter>> submitters_;
   Slots<Ticket> tickets_;
+  std::list<std::uint64_t> resting_;  // used, and with nothing open: the longest first
+  Deadlines::Id trim_;
   bool draining_ = false, listener_closed_ = false;
   std::function<void()> drained_;
 };
--- a/tests/net/router_test.cpp
+++ b/tests/net/router_test.cpp
@@ -191,6 +191,21 @@
   CHECK(router.process.err.Until(" ") != "0 ");
 }
 
+// Guards against clients that take a new connection for each command and keep them all.
+TEST_CASE("of many submitters at rest the one that has rested longest is closed early") {
+  Router router("", 40);  // 15 places; 8 may rest
+  std::vector<Fd> submitters;
+  for (int i = 0; i < 12; ++i) {
+    submitters.push_back(router.Connect());
+    submitters.back().Write("mn\r\n");
+    CHECK(submitters.back().Line() == "MN\r\n");
+  }
+  CHECK(submitters.front().Ended());
+  REQUIRE(::kill(router.process.pid, SIGUSR1) == 0);
+  CHECK(router.process.err.Until(" made_way=").size() > 0);
+  CHECK(router.process.err.Until(" ") != "0 ");  // not for its rest being over
+}
+
 // Guards against bytes beyond an answer, which would pass for the next one on that connection.
 TEST_CASE("what is sent beyond an answer, at once or later, spoils no other claim") {
   Listener node;
