Find stalled answers by the aim; take overdue attempts back early where that helps

A probe of stalled and abandoned claims: 166 answers stopped half-way, each waited for 500 ms (Limits::answer), and some 350 claims were silent to the end, 140 of them at the origin, because 1.5 times the slowest usual answer (350 to 590 ms) lay past the aim, so that FindOverdue never acted.

Now: an answer begun must go on within an eighth of the longest aim (config.cpp), counted from its last bytes; and FindOverdue also takes back an attempt slower than 99 in 100 when it is high time for another to be in time, but only while attempts made again are seen to be quick (LearnAgain): what went astray is answered quickly, a heavy request or an overloaded tier is as slow again.

Two module tests and a case of the configuration's that fail without it.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -44,7 +44,8 @@
 constexpr int kSilentFrom =
     3;  // requests out from which on silence tells of the server, not of one request
 constexpr Duration kWatchStep = milliseconds(25);  // how often silence and overdue attempts are looked for
-constexpr double kPatience = 1.5;  // an attempt is overdue after this many times the slowest usual answer
+constexpr double kPatience = 1.5;    // an attempt is overdue after this many times the slowest usual answer
+constexpr double kAgainHelps = 0.6;  // from this share on, overdue attempts are taken back early
 constexpr double kRetryBudget =
     0.2;  // further attempts per request, on average; a burst of kRetryBurst at most
 constexpr double kRetryBurst = 10;
@@ -385,27 +386,33 @@
   }
   // Guards against attempts that nothing will ever answer while their server answers others: the connection
   // has fallen silent, and would be found out only as the client gives up. A safe request, or a keyed one
-  // within its rules, is taken back once, when it has been out for longer than answers ever take here,
-  // while another attempt can still be in time, and while the retry budget lasts: that keeps a tier that is
-  // merely slow from being sent everything twice. The origin goes on with what it was sent: it gets double
-  // the time, and keeps all while it is strained.
+  // within its rules, is taken back once, when it has been out for longer than answers ever take here, or
+  // longer than nearly all do and it is high time for another attempt to be in time; and while the retry
+  // budget lasts: that keeps a tier that is merely slow from being sent everything twice. The origin goes
+  // on with what it was sent: it gets double the time, and keeps all while it is strained.
   void FindOverdue() {
     if (!times_.Known() || !set_.allowed.cancel) return;
     const Duration slowest = FromSeconds(kPatience * Seconds(times_.Quantile(0.99)));
-    const Duration again = times_.Quantile(0.5);
+    const Duration again = times_.Quantile(0.5), most_take = times_.Quantile(0.99);
+    // Another attempt is in time if it takes what nine in ten take, and half as much again for a fetch.
+    const Duration in_time = 3 * times_.Quantile(0.9) / 2;
     double room = retry_tokens_;
     for (auto& [key, r] : requests_) {
       if (r.ended || r.streaming || r.out != 1 || !r.attempts.back().out) continue;
       Attempt& a = r.attempts.back();
       const Server& s = servers_[a.server];
       const RequestClass& c = ClassOf(r);
-      const Duration out = now_ - a.sent, most = std::max(PatienceFrom(c.aim), slowest);
-      if (out < (IsOrigin(s) ? 2 * most : most) || (IsOrigin(s) && fetch_bad_ > kFetchBad)) continue;
+      const Time last = c.aim > Duration(0) ? std::min(r.deadline, r.arrived + c.aim) : r.deadline;
+      const Duration out = now_ - a.sent;
+      const bool high_time =
+          again_helps_ > kAgainHelps && now_ + in_time + kWatchStep >= last && out >= most_take;
+      if (out < PatienceFrom(c.aim) || (out < (IsOrigin(s) ? 2 * slowest : slowest) && !high_time))
+        continue;
+      if (IsOrigin(s) && fetch_bad_ > kFetchBad) continue;
       if (std::any_of(r.attempts.begin(), r.attempts.end(), [](const Attempt& o) { return o.overdue; }))
         continue;
       if (static_cast<int>(r.attempts.size()) >= set_.allowed.max_attempts) continue;
       const bool keyed = c.effect == Effect::kKeyed && c.group == Group::kAll && out + again < c.window;
-      const Time last = c.aim > Duration(0) ? std::min(r.deadline, r.arrived + c.aim) : r.deadline;
       if ((c.effect != Effect::kSafe && !keyed) || now_ + again >= last) continue;
       if ((room -= 1) < 0) break;
       a.overdue = true;
@@ -733,6 +740,7 @@
     if (e.complete) r.ended = true;
     Learn(s, a, e);
     LearnFetch(r, a, e);
+    LearnAgain(r, a, e.result);
     if (!r.ended && !r.streaming) Continue(r, e.result);
     Forget(it);
   }
@@ -778,6 +786,20 @@
     }
   }
 
+  // Does another attempt help what was taken back? One that went astray is answered as quickly as any
+  // other; a heavy request, or one in an overloaded tier, is as slow again, and was better left where it
+  // was.
+  void LearnAgain(const Request& r, const Attempt& a, Result result) {
+    if (&a != &r.attempts.back() || result == Result::kMiss || result == Result::kCancelled) return;
+    if (r.attempts.size() < 2 || std::none_of(r.attempts.begin(), r.attempts.end() - 1,
+                                              [](const Attempt& o) { return o.overdue; })) {
+      return;
+    }
+    const Duration usual = a.fetch ? FromSeconds(fetch_time_ * 3 / 2) : times_.Quantile(0.75);
+    const bool quick = result == Result::kOk && now_ - a.sent <= usual;
+    again_helps_ += 0.1 * ((quick ? 1 : 0) - again_helps_);
+  }
+
   void Learn(Server& s, const Attempt& a, const Outcome& e) {
     switch (e.result) {
       case Result::kOk:
@@ -969,7 +991,8 @@
   Times times_;
   double typical_ = 0.05;  // seconds of a usual answer
   double retry_tokens_ = kRetryBurst;
-  Smoothed served_;  // answers, decaying: its value over kRateTau is the rate
+  double again_helps_ = 0.5;  // share of overdue attempts whose next one was answered quickly
+  Smoothed served_;           // answers, decaying: its value over kRateTau is the rate
   int fetches_out_ = 0;
   double fetch_limit_ = kFetchStart;
   double fetch_bad_ = 0;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -86,6 +86,9 @@
   if (s.conn_idle > Duration(0)) l.idle = s.conn_idle * 3 / 5;
   if (s.module.allowed.retry_after) l.max_retry_after = s.module.allowed.max_retry_after;
   Duration longest{0};
+  Duration aim{0};
+  for (const auto& c : s.module.classes) aim = std::max(aim, Duration(c.aim));
+  if (aim > Duration(0)) l.answer = std::min(l.answer, aim / 8);  // or no other attempt could be in time
   for (const auto& c : s.module.classes) {
     longest = std::max(longest, Duration(c.deadline));
     if (c.stream) l.answer = l.longest_wait;  // a streamed answer comes as it is made
--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -39,7 +39,7 @@
       std::chrono::milliseconds(50)};  // a submitter that was answered may rest this long at least
   Duration hurry{std::chrono::milliseconds(250)};   // in a full table, a silent one goes after this
   Duration hang_up{std::chrono::seconds(2)};        // after its last answer a submitter closes within this
-  Duration answer{std::chrono::milliseconds(500)};  // an answer begun is whole within this, or spoilt
+  Duration answer{std::chrono::milliseconds(500)};  // an answer begun goes on within this, or is spoilt
   Duration settle{
       std::chrono::milliseconds(25)};         // what spoils a resting connection mostly comes this soon
   Duration forget{std::chrono::seconds(15)};  // a machine gone for this long is forgotten
--- a/src/net/claim_pool.cpp
+++ b/src/net/claim_pool.cpp
@@ -157,7 +157,8 @@
   bool keep = true;
   switch (Parse(Gathered(c.buffer.get()), c.errand, used, end, keep)) {
     case Parsed::kMore:
-      if (c.deadline == Deadlines::Id()) AwaitRest(c, limits_.answer);
+      loop_.deadlines().Drop(c.deadline);
+      AwaitRest(c, limits_.answer);
       return;
     case Parsed::kBad:
       LogLine(Level::kDebug) << "bad answer from " << engine_.FindMachine(c.machine)->uid;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -339,6 +339,40 @@
   EXPECT_NE(unsafe, lost);
 }
 
+// Guards against patience beyond the aim, where some answers usually take nearly as long as that.
+TEST(Health, AnAttemptIsTakenBackWhileAnotherCanStillBeInTime) {
+  Driver d;
+  d.Servers(4);
+  const auto lose_one = [&d] {  // a connection falls silent; what is asked again is answered at once
+    const std::size_t before = d.cancelled.size();
+    d.Ask("a");
+    const RequestId lost = d.last_id;
+    d.Pass(milliseconds(225));
+    if (d.cancelled.size() == before) return false;
+    d.Ends(lost, 0, Result::kCancelled);
+    d.Pass(milliseconds(10));
+    d.Ends(lost, 1, Result::kOk);
+    return true;
+  };
+  for (int i = 0; i < 100; ++i) d.Serve("a", milliseconds(20));
+  for (int i = 0; i < 6; ++i) {
+    d.Serve("a");
+    EXPECT_TRUE(lose_one());  // far longer than any answer takes: and asking again is seen to help
+  }
+  for (int i = 0; i < 60; ++i) d.Serve("a", milliseconds(i % 10 == 0 ? 200 : 20));
+  d.Serve("a");
+  EXPECT_TRUE(lose_one());  // 1.5 times the slowest answers would be past the aim of 250 ms
+}
+
+TEST(Health, WhereAskingAgainDoesNotHelpSlowAttemptsAreLeft) {
+  Driver d;
+  d.Servers(4);
+  for (int i = 0; i < 100; ++i) d.Serve("a", milliseconds(i % 10 == 0 ? 200 : 20));
+  d.Ask("a");
+  d.Pass(milliseconds(225));
+  EXPECT_TRUE(d.cancelled.empty());
+}
+
 TEST(Health, PatienceFollowsTheAim) {
   for (const int scale : {1, 4}) {
     Settings s = PlainSettings();
--- a/tests/net/parsers_test.cpp
+++ b/tests/net/parsers_test.cpp
@@ -322,6 +322,10 @@
   CHECK(c.known.rev == 4);
   CHECK(c.limits.idle == 3s);
   CHECK(c.limits.max_attempts == 3);
+  CHECK(c.limits.answer == 500ms);
+  std::string quick = good;  // an answer that stops half-way must be found out well within the aim
+  quick.replace(quick.find("\"give_up\""), 0, "\"aim\":400000000,");
+  CHECK(ReadConfig(quick, "", "", "").limits.answer == 50ms);
   CHECK(c.limits.submitters + c.limits.claim_conns < 90);
   CHECK(c.limits.jobs * c.limits.value < 64u << 20);
   for (const auto& [memory, sockets] : {std::pair{32u, 256}, {192u, 1024}, {48u, 384}}) {
