Never close a submitter in the middle of a command; bound take-backs by the budget

FindSilent and FindOverdue each reckoned with the whole retry budget in one event, so that what they took back beyond it was refused though an answer might still have come.

Now half a command takes its connection out of those at rest and makes way last; RetryRoom counts what the same event has taken back already. Two tests that fail without it: a slow command with 11 others at rest, and four silent servers with 48 requests out (20 taken back before, 10 at most now).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -367,6 +367,14 @@
       if (s.ejected) TakeBack(id);
     }
   }
+  // What the retry budget still bears beside what this very event takes back already. Guards against taking
+  // back more than can be asked again: the rest would be refused, though an answer might have come.
+  double RetryRoom() const {
+    return retry_tokens_ -
+           static_cast<double>(std::count_if(out_->begin(), out_->end(), [](const Action& a) {
+             return std::holds_alternative<Cancel>(a);
+           }));
+  }
   // Cancels what is out at a server, the newest first: their clients wait longest.
   void TakeBack(ServerId id) {
     std::vector<Request*> there;
@@ -377,7 +385,7 @@
     std::sort(there.begin(), there.end(), [](const Request* a, const Request* b) {
       return a->arrived != b->arrived ? a->arrived > b->arrived : a->id > b->id;
     });
-    double room = retry_tokens_;
+    double room = RetryRoom();
     for (Request* r : there) {
       if ((room -= 1) < 0) break;
       r->attempts.back().overdue = true;
@@ -396,7 +404,7 @@
     const Duration again = times_.Quantile(0.5), most_take = times_.Quantile(0.99);
     // Another attempt is in time if it takes what nine in ten take, and half as much again for a fetch.
     const Duration in_time = 3 * times_.Quantile(0.9) / 2;
-    double room = retry_tokens_;
+    double room = RetryRoom();
     for (auto& [key, r] : requests_) {
       if (r.ended || r.streaming || r.out != 1 || !r.attempts.back().out) continue;
       Attempt& a = r.attempts.back();
--- a/src/net/submitter_front.cpp
+++ b/src/net/submitter_front.cpp
@@ -58,12 +58,12 @@
 }
 
 // Which makes way first in a full table: those that have their last answer, then those that connected and
-// say nothing whole, then those that have served and rest. None that is owed an answer, and none that has
-// just connected: it is about to speak. -1: not this one.
+// say nothing, then those that have been served and rest, then those that are slow to end a command. None
+// that is owed an answer, and none that has just connected: it is about to speak. -1: not this one.
 int SubmitterFront::WayRank(const Submitter& s, Time now) const {
   if (s.shut) return 0;
   if (!s.pending.empty() || evbuffer_get_length(bufferevent_get_output(s.buffer.get())) != 0) return -1;
-  if (s.partial != Time(0)) return now - s.partial > limits_.hurry ? 1 : -1;
+  if (s.partial != Time(0)) return now - s.partial > limits_.hurry ? 3 : -1;
   if (!s.used) return now - s.active > limits_.hurry ? 1 : -1;
   return 2;
 }
@@ -75,7 +75,7 @@
   if (submitters_.size() < limits_.submitters) return;
   const Time now = loop_.Now();
   std::uint64_t chosen = 0;
-  std::pair<int, Time> least{3, Time(0)};
+  std::pair<int, Time> least{4, Time(0)};
   submitters_.Each([&](std::uint64_t id, auto& s) {
     const std::pair<int, Time> at{WayRank(*s, now), s->active};
     if (at.first < 0 || at >= least) return;
@@ -157,6 +157,7 @@
       const bool begun = evbuffer_get_length(bufferevent_get_input(s.buffer.get())) != 0;
       if (!begun) s.partial = Time(0);
       if (begun && s.partial == Time(0)) s.partial = loop_.Now();
+      if (begun) Rouse(s);  // one that sends a command, however slowly, is not at rest
       break;
     }
     s.partial = Time(0);
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -373,6 +373,17 @@
   EXPECT_TRUE(d.cancelled.empty());
 }
 
+// Guards against taking back, by silence and by patience at once, more than may be asked again.
+TEST(Health, NoMoreIsTakenBackThanTheRetryBudgetBears) {
+  Driver d;
+  d.Servers(4);
+  for (int i = 0; i < 40; ++i) d.Serve("a");
+  for (int i = 0; i < 48; ++i) d.Ask("k" + std::to_string(i));  // and nobody answers
+  while (d.cancelled.empty() && d.now < seconds(200)) d.Pass(milliseconds(1));
+  EXPECT_GE(d.cancelled.size(), 5u);
+  EXPECT_LE(d.cancelled.size(), 10u);
+}
+
 TEST(Health, PatienceFollowsTheAim) {
   for (const int scale : {1, 4}) {
     Settings s = PlainSettings();
--- a/tests/net/router_test.cpp
+++ b/tests/net/router_test.cpp
@@ -206,6 +206,20 @@
   CHECK(router.process.err.Until(" ") != "0 ");  // not for its rest being over
 }
 
+TEST_CASE("a submitter in the middle of a command is not at rest") {
+  Router router("", 40);  // 8 may rest
+  std::vector<Fd> submitters;
+  for (int i = 0; i < 12; ++i) {
+    submitters.push_back(router.Connect());
+    submitters.back().Write("mn\r\n");
+    CHECK(submitters.back().Line() == "MN\r\n");
+    if (i == 0) submitters[0].Write("m");
+  }
+  CHECK(submitters[1].Ended());  // has rested longest
+  submitters[0].Write("n\r\n");
+  CHECK(submitters[0].Line() == "MN\r\n");
+}
+
 // Guards against bytes beyond an answer, which would pass for the next one on that connection.
 TEST_CASE("what is sent beyond an answer, at once or later, spoils no other claim") {
   Listener node;
