--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The usual tasks. PROXY_CONFIG (and the other PROXY_* variables) go to `make run` as they are.
-.PHONY: build test lint run
+.PHONY: build test lint run lab demo
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
@@ -11,7 +11,15 @@
 	ctest --preset test
 
 lint:
-	find include src tests -name '*.h' -o -name '*.cpp' | xargs clang-format --dry-run --Werror
+	find include src lab tests -name '*.h' -o -name '*.cpp' | xargs clang-format --dry-run --Werror
 
 run: build
 	exec build/brasswood
+
+lab:
+	cmake -B build -DCMAKE_BUILD_TYPE=Release -DBRASSWOOD_LAB=ON
+	cmake --build build -j4
+
+# Half a minute of a small fleet with one fault, and where the report of it lies.
+demo: lab
+	build/lab/brasswood-lab run demo --out lab-out/demo
--- /dev/null
+++ b/lab/base/plan.h
@@ -0,0 +1,44 @@
+// What the schedule of a run decides without a socket: the work of a job, the size of a key, the faults'
+// windows. Pure functions of the scenario and the id, so that both sides of a run, and two runs of one
+// seed, agree on them.
+#ifndef BRASSWOOD_LAB_BASE_PLAN_H_
+#define BRASSWOOD_LAB_BASE_PLAN_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <string_view>
+
+#include "lab/base/rng.h"
+#include "lab/base/scenario.h"
+
+namespace brasswood::lab {
+
+inline bool Active(const FaultPlan& f, Duration since_start) {
+  return since_start >= f.at && since_start < f.at + f.length;
+}
+
+// Seconds of a core of speed 1.
+inline double WorkOf(const Scenario& s, std::size_t job_class, std::uint64_t id, Duration since_start) {
+  const ClassPlan& c = s.classes[job_class];
+  Rng rng(Mix(id ^ s.seed), static_cast<std::uint64_t>(Stream::kWork));
+  double work = LogNormal(rng, c.work_ms, c.work_cv) / 1000;
+  // An unbounded tail would make a run's figures depend on one job.
+  work = std::min(work, c.work_ms / 1000 * 30);
+  for (const FaultPlan& f : s.faults) {
+    if (f.kind == FaultKind::kHeavy && Active(f, since_start) && Chance(rng, f.share)) work *= f.size;
+  }
+  return work;
+}
+
+// Bytes of the value of a key.
+inline std::size_t SizeOf(const Scenario& s, std::string_view key) {
+  std::uint64_t h = 1469598103934665603ull;  // FNV-1a
+  for (const char c : key) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ull;
+  Rng rng(Mix(h ^ s.seed), static_cast<std::uint64_t>(Stream::kContents));
+  return static_cast<std::size_t>(
+      std::clamp(LogNormal(rng, s.load.size_bytes, s.load.size_cv), 64.0, 60000.0));
+}
+
+}  // namespace brasswood::lab
+
+#endif  // BRASSWOOD_LAB_BASE_PLAN_H_
--- /dev/null
+++ b/lab/base/scenario.h
@@ -0,0 +1,182 @@
+// A scenario: the site, its traffic and what goes wrong, as a TOML file says. docs/LAB.md lists every key.
+// A file may rest on another (`base = "calm.toml"`) and say only what differs.
+// Reading checks all of it at once; a scenario that was read is sound and the rest of the laboratory does
+// not check again.
+#ifndef BRASSWOOD_LAB_BASE_SCENARIO_H_
+#define BRASSWOOD_LAB_BASE_SCENARIO_H_
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace brasswood::lab {
+
+// May a job of the class run again once it may have run? Always; only under its key within the window;
+// never.
+enum class Repeats { kFree, kKeyed, kNever };
+
+struct ClassPlan {
+  std::string name;
+  double share = 1;    // of the arrivals, against the other classes'
+  double work_ms = 5;  // mean, of a core of speed 1
+  double work_cv = 1;
+  Duration aim{0}, give_up{0};
+  double worth = 1;
+  Repeats repeats = Repeats::kFree;
+  Duration window{0};
+  bool write = false;
+};
+
+struct TenantPlan {
+  std::string name;
+  double share = 1;
+};
+
+struct NodePlan {  // some execute nodes that are alike
+  std::string kind;
+  int hall = 0;
+  int count = 1;
+  int cores = 2;
+  double speed = 1;
+  int waiting = 200;  // jobs, beyond those at work
+  double memory_mb = 64;
+  int connections = 1000;
+  double handshake_ms = 1;  // of a core, for each new connection
+  double cold_from = 0.15;  // of its capacity, at its start
+  Duration ramp{0};         // from then until it is warm
+};
+
+struct OriginPlan {
+  int cores = 4;
+  double work_ms = 40;  // of a fetch; a write takes write_times as much
+  double write_times = 1.5;
+  double work_cv = 0.5;
+  int waiting = 200;
+  double fall_multiple = 2.5;  // of its capacity; 0: it never falls
+  Duration fall{0};            // for this long
+  Duration down{0};            // and then it stops for this long
+};
+
+struct DiscoveryPlan {
+  Duration late{0};  // from a change until it is listed
+};
+
+struct RouterPlan {
+  int per_hall = 1;
+  double memory_mb = 192;
+  int sockets = 1024;
+};
+
+enum class Pool { kKeep, kDrop, kHoard };  // connections: used again, closed after each answer, left open
+
+struct LoadPlan {
+  double rate = 200;    // arrivals a second, over all halls
+  bool steady = false;  // evenly spaced; else Poisson
+  std::vector<double> hall_share;
+  int keys = 5000;
+  double zipf = 1.0, zipf_offset = 2;
+  double drift = 0;  // ranks by which popularity moves on each second
+  double size_bytes = 2000, size_cv = 1;
+  int clients = 20;  // over all halls, each with a pool of its own
+  int sources = 1;   // addresses that they connect from
+  Pool pool = Pool::kKeep;
+  Duration client_idle{0};  // a client closes a connection that has rested this long
+  int retries = 1;
+  Duration backoff{0};     // doubled for each further one, +-50%
+  double honour = 1;       // share of clients that come back no sooner than told
+  double try_share = 1;    // of the give-up time that a try waits
+  Duration notice{0};      // a router that cannot be reached is left out for this long
+  Duration late_limit{0};  // sending later than this, at the 99.9th percentile, voids the run
+};
+
+enum class FaultKind {
+  kHang,        // nodes take commands and answer none
+  kSlow,        // nodes, or the origin, work at `size` of their speed
+  kReset,       // `share` of a node's answers is a reset connection instead
+  kRefuse,      // nodes are dead: connections reset, new ones refused
+  kHalf,        // `share` of a node's answers breaks off half-way
+  kGarbage,     // `share` of a node's answers is noise
+  kSilent,      // nodes are cut off: nothing is read, new connections never come up
+  kDrain,       // nodes are listed as terminating, and gone after the fault's length
+  kReplace,     // nodes are replaced one batch after the other by cold successors
+  kKill,        // routers are killed and, after the fault's length, started again
+  kDiscovery,   // discovery is down
+  kOriginStop,  // the origin answers nothing and takes no connection
+  kHotKey,      // `share` of the arrivals goes to `size` keys
+  kBurst,       // arrivals come `size` times as often
+  kHeavy,       // `share` of the jobs costs `size` times the work
+  kHallCut,     // all nodes of a hall are cut off from every router
+  kFlood        // one address holds `size` silent connections at each router
+};
+inline constexpr std::string_view kFaultNames[] = {
+    "hang",    "slow",  "reset",   "refuse",      "half",           "garbage",
+    "silent",  "drain", "replace", "kill_router", "discovery_down", "origin_stop",
+    "hot_key", "burst", "heavy",   "hall_cut",    "flood"};
+
+struct FaultPlan {
+  FaultKind kind = FaultKind::kHang;
+  Duration at{0}, length{0};   // from the start of the load
+  double part = 0;             // share of the nodes (or routers), of `hall` where one is named
+  int count = 0;               // or how many of them
+  int hall = -1;               // -1: any
+  double size = 1, share = 1;  // by kind
+  double batch = 0.1;          // of a replacement: share of the fleet at a time
+  Duration drain{0};           // of a replacement: from its drain to its end
+  bool origin = false;         // kSlow: the origin, not nodes
+};
+
+// What the routers are told of the rules, and what the judge holds them to.
+struct RulePlan {
+  Duration drain_grace{0}, answer_slack{0};
+  double cold_from = 0.12;
+  Duration ramp{0};
+  double fall_multiple = 4;
+  Duration fall{0};
+  int max_attempts = 5;
+  Duration max_retry_after{0};
+  double cross_price = 0.13;
+};
+
+// What must hold of the result, beside the rules, for the scenario to count as passed.
+struct ExpectPlan {
+  double in_time = 0;      // least share of the first tries answered in time
+  double recovered_s = 0;  // each fault that ends is recovered from within this; 0: not asked
+};
+
+struct Scenario {
+  std::string name, about;
+  std::uint64_t seed = 1;
+  Duration length{0}, warm_up{0};  // the first part of the length is not counted
+  std::vector<std::string> halls;
+  std::vector<NodePlan> nodes;
+  OriginPlan origin;
+  DiscoveryPlan discovery;
+  RouterPlan routers;
+  LoadPlan load;
+  std::vector<ClassPlan> classes;
+  std::vector<TenantPlan> tenants;
+  std::vector<FaultPlan> faults;
+  RulePlan rules;
+  ExpectPlan expect;
+};
+
+// what() holds one line for each thing wrong.
+class BadScenario : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// "load.rate=300" for each change that a study makes; the value is written as in TOML.
+using Overrides = std::vector<std::string>;
+
+Scenario ReadScenario(std::string_view text, const std::string& file, const Overrides& overrides = {});
+Scenario LoadScenario(const std::string& file, const Overrides& overrides = {});
+
+}  // namespace brasswood::lab
+
+#endif  // BRASSWOOD_LAB_BASE_SCENARIO_H_
--- /dev/null
+++ b/lab/faulty/main.cpp
@@ -0,0 +1,262 @@
+// Routers that break one rule each, to show that the judge catches them. What they have in common is the
+// plainest router there can be: a thread for each submitter, blocking sockets, a node by the key's hash.
+// The first argument names the rule to break; "honest" breaks none.
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <csignal>
+#include <functional>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+#include "config/config.h"
+#include "lab/truth/truth.h"
+#include "protocol/address.h"
+#include "protocol/discovery.h"
+#include "protocol/http.h"
+#include "protocol/labels.h"
+#include "protocol/meta.h"
+
+namespace {
+
+using namespace brasswood;
+using beechledge::Availability;
+using beechledge::Result;
+
+enum class Mode {
+  kHonest,
+  kDoubleWrite,   // a publish goes out again after its receipt
+  kLostAnswer,    // some submitters are hung up on instead of answered
+  kLateAnswer,    // some answers come after the deadline
+  kForeignValue,  // some values are of the router's own making
+  kLateDrain,     // the machine list is never read again
+  kColdPush,      // all reads go to the machine that started last
+  kTwoAtOnce,     // reads go to two nodes at a time
+  kRefusedRun     // publishes that ran are refused as though they had not
+};
+constexpr std::string_view kModes[] = {"honest",      "double-write",  "lost-answer",
+                                       "late-answer", "foreign-value", "late-drain",
+                                       "cold-push",   "two-at-once",   "refused-run"};
+
+constexpr int kPatienceMs = 10000;
+
+class Socket {
+ public:
+  explicit Socket(int fd) : fd_(fd) {}
+  Socket(const Socket&) = delete;
+  Socket& operator=(const Socket&) = delete;
+  ~Socket() {
+    if (fd_ >= 0) ::close(fd_);
+  }
+  bool Connect(const std::string& endpoint) {
+    const auto at = ParseAddress(endpoint);
+    fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    return at && ::connect(fd_, reinterpret_cast<const sockaddr*>(&*at), sizeof *at) == 0;
+  }
+  void Write(const std::string& text) const { (void)!::send(fd_, text.data(), text.size(), MSG_NOSIGNAL); }
+  // Reads until `parse` has a whole message; false where the other side closes or falls silent.
+  bool Read(const std::function<Parsed(std::string_view, std::size_t&)>& parse) {
+    for (;;) {
+      std::size_t used = 0;
+      const Parsed got = parse(in_, used);
+      if (got == Parsed::kBad) return false;
+      if (got == Parsed::kDone) {
+        in_.erase(0, used);
+        return true;
+      }
+      pollfd p{fd_, POLLIN, 0};
+      char bytes[16384];
+      const ssize_t n = ::poll(&p, 1, kPatienceMs) == 1 ? ::recv(fd_, bytes, sizeof bytes, 0) : 0;
+      if (n <= 0) return false;
+      in_.append(bytes, static_cast<std::size_t>(n));
+    }
+  }
+
+ private:
+  int fd_ = -1;
+  std::string in_;
+};
+
+class FaultyRouter {
+ public:
+  FaultyRouter(Config config, Mode mode) : config_(std::move(config)), mode_(mode), list_(config_.known) {}
+
+  void Serve() {
+    std::thread([this] { Follow(); }).detach();
+    const sockaddr_in at = *ParseAddress(config_.listen);
+    const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (::bind(listener, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 ||
+        ::listen(listener, 512) != 0) {
+      std::cerr << "cannot listen\n";
+      std::exit(1);
+    }
+    for (;;) {
+      const int fd = ::accept(listener, nullptr, nullptr);
+      if (fd >= 0) std::thread([this, fd] { Converse(fd); }).detach();
+    }
+  }
+
+ private:
+  void Follow() {
+    for (;;) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      if (mode_ == Mode::kLateDrain && Told()) continue;
+      Socket s(-1);
+      if (!s.Connect(config_.discovery)) continue;
+      s.Write(WriteGet(config_.discovery, ListPath(std::nullopt, Duration(0))));
+      HttpAnswer answer;
+      if (!s.Read([&](std::string_view in, std::size_t& used) {
+            return ParseHttpAnswer(in, config_.limits.list, config_.limits, used, answer);
+          })) {
+        continue;
+      }
+      std::string why;
+      const auto list = ReadMachineList(answer.body, config_.settings.names, config_.limits, why);
+      const std::lock_guard lock(lock_);
+      if (!list) continue;
+      const bool changed = list->entries.size() != list_.entries.size() || list->rev != list_.rev;
+      told_ = told_ || changed;
+      // The one that breaks the rule on drains has been told, and goes on with the list of before.
+      if (mode_ != Mode::kLateDrain) list_ = *list;
+    }
+  }
+  bool Told() {
+    const std::lock_guard lock(lock_);
+    return told_;
+  }
+
+  bool IsOrigin(const MachineEntry& e) const { return e.kind == config_.settings.module.origin_kind; }
+
+  std::string Origin() {
+    const std::lock_guard lock(lock_);
+    for (const MachineEntry& e : list_.entries) {
+      if (IsOrigin(e)) return e.endpoint;
+    }
+    return {};
+  }
+
+  // Up to two nodes for the key, the first to be asked first.
+  std::vector<std::string> Nodes(const std::string& key) {
+    const std::lock_guard lock(lock_);
+    std::vector<const MachineEntry*> up;
+    for (const MachineEntry& e : list_.entries) {
+      if (!IsOrigin(e) && e.availability == Availability::kUp) up.push_back(&e);
+    }
+    if (up.empty()) return {};
+    if (mode_ == Mode::kColdPush) {
+      const auto last = std::max_element(
+          up.begin(), up.end(), [](const auto* a, const auto* b) { return a->started < b->started; });
+      return {(*last)->endpoint};
+    }
+    const std::size_t n = std::hash<std::string>()(key) % up.size();
+    return {up[n]->endpoint, up[(n + 1) % up.size()]->endpoint};
+  }
+
+  ClaimEnd AtNode(Socket& s, const JobContent& job) {
+    ClaimEnd end;
+    if (!s.Read([&](std::string_view in, std::size_t& used) {
+          return ParseClaimReply(in, job, config_.limits, used, end);
+        })) {
+      end.result = Result::kReset;
+    }
+    return end;
+  }
+
+  ClaimEnd AtOrigin(const JobContent& job) {
+    Socket s(-1);
+    ClaimEnd end;
+    end.result = Result::kReset;
+    const std::string origin = Origin();
+    if (!s.Connect(origin)) return end;
+    s.Write(WriteOriginClaim(origin, job));
+    HttpAnswer answer;
+    if (s.Read([&](std::string_view in, std::size_t& used) {
+          return ParseHttpAnswer(in, config_.limits.value, config_.limits, used, answer);
+        })) {
+      end = ReadOriginAnswer(std::move(answer), job);
+    }
+    return end;
+  }
+
+  Answer Run(const JobContent& job) {
+    ClaimEnd end;
+    end.result = Result::kMiss;
+    if (!job.write) {
+      const std::vector<std::string> nodes = Nodes(job.key);
+      Socket first(-1), second(-1);
+      bool out = !nodes.empty() && first.Connect(nodes[0]);
+      if (out) first.Write(WriteClaim(job, std::chrono::seconds(1)));
+      if (mode_ == Mode::kTwoAtOnce && nodes.size() > 1 && second.Connect(nodes[1])) {
+        second.Write(WriteClaim(job, std::chrono::seconds(1)));
+        if (out) end = AtNode(first, job);
+        if (end.result != Result::kOk) end = AtNode(second, job);
+      } else if (out) {
+        end = AtNode(first, job);
+      }
+    }
+    if (end.result != Result::kOk) end = AtOrigin(job);
+    const bool publish = job.write && job.labels.find(",k=") == job.labels.npos;
+    if (mode_ == Mode::kDoubleWrite && publish) end = AtOrigin(job);
+    if (mode_ == Mode::kRefusedRun && publish) return {AnswerKind::kRefused, {}, {}};
+    if (end.result != Result::kOk) return {AnswerKind::kFailed, {}, {}};
+    return {job.write ? AnswerKind::kReceipt : AnswerKind::kValue, std::move(end.body), {}};
+  }
+
+  void Converse(int fd) {
+    Socket submitter(fd);
+    for (;;) {
+      Command command;
+      if (!submitter.Read([&](std::string_view in, std::size_t& used) {
+            return ParseCommand(in, config_.limits, used, command);
+          })) {
+        return;
+      }
+      if (command.verb != Verb::kJob) {
+        submitter.Write("MN\r\n");
+        continue;
+      }
+      Answer answer = Run(command.content);
+      const bool chosen = ++count_ % 10 == 0;
+      if (mode_ == Mode::kLostAnswer && chosen) return;
+      if (mode_ == Mode::kForeignValue && chosen && answer.kind == AnswerKind::kValue) {
+        // Well formed, and marked as only machines mark: what no machine made all the same.
+        answer.body = command.content.id + ":4000000000:vv";
+      }
+      if (mode_ == Mode::kLateAnswer && chosen) {
+        std::uint64_t ms = 0;
+        EachLabel(command.content.labels, [&](std::string_view name, std::string_view value) {
+          if (name == "d") ms = WholeNumber(value).value_or(0);
+        });
+        std::this_thread::sleep_for(std::chrono::milliseconds(ms + 250));
+      }
+      std::string text;
+      AppendAnswer(text, command.content.id, answer, config_.limits);
+      submitter.Write(text);
+    }
+  }
+
+  const Config config_;
+  const Mode mode_;
+  std::mutex lock_;
+  MachineList list_;
+  bool told_ = false;
+  std::atomic<std::uint64_t> count_{0};
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGTERM, [](int) { ::_exit(0); });
+  const std::string_view said = argc > 1 ? argv[1] : "honest";
+  for (std::size_t m = 0; m < std::size(kModes); ++m) {
+    if (kModes[m] == said) FaultyRouter(LoadConfig(), static_cast<Mode>(m)).Serve();
+  }
+  std::cerr << "unknown fault: " << said << "\n";
+  return 2;
+}
--- /dev/null
+++ b/lab/load/answer.cpp
@@ -0,0 +1,60 @@
+#include "lab/load/answer.h"
+
+namespace brasswood::lab {
+namespace {
+
+constexpr std::size_t kLine = 4096, kValue = 64 * 1024;
+
+// "ID:SERIAL:vvvv".
+bool TakeMark(std::string_view value, RequestId id, std::uint32_t& serial) {
+  const std::string text = IdText(id) + ":";
+  if (!value.starts_with(text)) return false;
+  value.remove_prefix(text.size());
+  const std::size_t colon = value.find(':');
+  const auto n = WholeNumber(value.substr(0, colon));
+  if (colon == value.npos || !n) return false;
+  serial = static_cast<std::uint32_t>(*n);
+  return value.find_first_not_of('v', colon + 1) == value.npos;
+}
+
+}  // namespace
+
+Parsed ParseClientAnswer(std::string_view in, RequestId id, std::size_t& used, ClientAnswer& answer) {
+  answer = {};
+  const std::size_t end = in.substr(0, kLine).find("\r\n");
+  if (end == in.npos) return in.size() >= kLine ? Parsed::kBad : Parsed::kMore;
+  std::string_view rest = in.substr(0, end);
+  used = end + 2;
+  const std::string_view head = NextWord(rest);
+  if (head == "VA") {
+    const auto length = WholeNumber(NextWord(rest));
+    if (!length || *length > kValue || rest != "O" + IdText(id)) return Parsed::kBad;
+    if (in.size() < used + *length + 2) return Parsed::kMore;
+    if (in.substr(used + *length, 2) != "\r\n") return Parsed::kBad;
+    if (!TakeMark(in.substr(used, *length), id, answer.serial)) return Parsed::kBad;
+    used += *length + 2;
+    answer.end = TryEnd::kValue;
+    return Parsed::kDone;
+  }
+  if (head == "HD") {
+    const std::string_view said = NextWord(rest);
+    const auto n = rest.starts_with("cr") ? WholeNumber(rest.substr(2)) : std::nullopt;
+    if (said != "O" + IdText(id) || !n) return Parsed::kBad;
+    answer.serial = static_cast<std::uint32_t>(*n);
+    answer.end = TryEnd::kReceipt;
+    return Parsed::kDone;
+  }
+  if (head == "SERVER_ERROR") {
+    answer.end = NextWord(rest) == "busy" ? TryEnd::kBusy : TryEnd::kFailed;
+    if (answer.end == TryEnd::kBusy)
+      answer.busy_for = std::chrono::milliseconds(WholeNumber(rest).value_or(0));
+    return Parsed::kDone;
+  }
+  if (head == "CLIENT_ERROR" || head == "ERROR") {
+    answer.end = TryEnd::kError;
+    return Parsed::kDone;
+  }
+  return Parsed::kBad;
+}
+
+}  // namespace brasswood::lab
--- /dev/null
+++ b/lab/load/load.cpp
@@ -0,0 +1,354 @@
+#include "lab/load/load.h"
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <stdexcept>
+
+#include "lab/load/answer.h"
+#include "lab/load/keys.h"
+#include "protocol/address.h"
+
+namespace brasswood::lab {
+namespace {
+
+// A client waits this much longer than it says, so that a late answer is seen to be late.
+constexpr Duration kPatience = std::chrono::milliseconds(400);
+constexpr int kMostUnreached = 3;  // routers in a row that a client finds gone before it gives up
+
+}  // namespace
+
+Load::Load(const Scenario& scenario, const std::vector<std::string>& routers)
+    : scenario_(scenario),
+      down_until_(routers.size()),
+      schedule_(scenario),
+      rng_(MakeRng(scenario.seed, Stream::kClients)),
+      idle_(std::max(static_cast<std::size_t>(scenario.load.clients), scenario.halls.size())) {
+  for (const std::string& r : routers) {
+    const auto at = ParseAddress(r);
+    if (!at) throw std::runtime_error("not a router's address: " + r);
+    routers_.push_back(*at);
+  }
+}
+
+Load::~Load() = default;
+
+void Load::Run(Time start) {
+  start_ = start;
+  next_ = schedule_.Next();
+  if (next_) loop_.deadlines().Set(start_ + next_->at, [this] { SendDue(); });
+  for (const FaultPlan& f : scenario_.faults) {
+    if (f.kind != FaultKind::kFlood) continue;
+    loop_.deadlines().Set(start_ + f.at, [this, &f] { Flood(f); });
+  }
+  lag_.Start(loop_);
+  Tick();
+  loop_.Run();
+  lag_.Stop();
+  truth_.cpu = ThreadCpu();
+  std::sort(lateness_.begin(), lateness_.end());
+  if (!lateness_.empty()) {
+    truth_.late_p999 = lateness_[lateness_.size() - 1 - lateness_.size() / 1000];
+    truth_.late_max = std::max(lateness_.back(), lag_.most());
+  }
+}
+
+LoadTruth Load::TakeTruth() { return std::move(truth_); }
+
+void Load::Tick() {
+  const bool over = !next_ && open_intents_ == 0 && loop_.Now() >= start_ + scenario_.length;
+  if (stop_ || over) return loop_.Stop();
+  loop_.deadlines().Set(loop_.Now() + std::chrono::milliseconds(20), [this] { Tick(); });
+}
+
+void Load::SendDue() {
+  const Time now = loop_.Now();
+  while (next_ && start_ + next_->at <= now) {
+    Intent intent;
+    intent.at = start_ + next_->at;
+    intent.job_class = next_->job_class;
+    intent.tenant = next_->tenant;
+    intent.hall = next_->hall;
+    truth_.intents.push_back(intent);
+    works_.push_back({*next_, 0, 0});
+    lateness_.push_back(now - intent.at);
+    ++open_intents_;
+    Begin(static_cast<std::uint32_t>(truth_.intents.size() - 1));
+    next_ = schedule_.Next();
+  }
+  if (next_) loop_.deadlines().Set(start_ + next_->at, [this] { SendDue(); });
+}
+
+// One more try of the intent, under an id of its own.
+void Load::Begin(std::uint32_t intent) {
+  Work& w = works_[intent];
+  const int number = w.tries + w.unreached;
+  Put(intent, number == 0 ? w.arrival.id : Schedule::Again(w.arrival.id, number), w.tries, false);
+}
+
+int Load::PickRouter(int hall) {
+  const int first = hall * scenario_.routers.per_hall;
+  const int n = std::min(scenario_.routers.per_hall, static_cast<int>(routers_.size()) - first);
+  std::vector<int> up;
+  for (int r = first; r < first + n; ++r) {
+    if (down_until_[static_cast<std::size_t>(r)] <= loop_.Now()) up.push_back(r);
+  }
+  if (up.empty()) return first + static_cast<int>(rng_(static_cast<std::uint32_t>(n)));
+  return up[rng_(static_cast<std::uint32_t>(up.size()))];
+}
+
+void Load::Put(std::uint32_t intent, RequestId id, int number, bool resent) {
+  const Arrival& a = works_[intent].arrival;
+  const ClassPlan& plan = scenario_.classes[a.job_class];
+  const Duration left = truth_.intents[intent].at + plan.give_up - loop_.Now();
+  TryRecord t;
+  t.id = id;
+  t.intent = intent;
+  t.number = static_cast<std::uint8_t>(number);
+  t.resent = resent;
+  t.wait = std::min(left, Duration(static_cast<std::int64_t>(static_cast<double>(plan.give_up.count()) *
+                                                             scenario_.load.try_share)));
+  t.wait = std::max<Duration>(std::chrono::milliseconds(1), t.wait / 1000000 * 1000000);
+  truth_.tries.push_back(t);
+  const auto record = static_cast<long long>(truth_.tries.size() - 1);
+  Connection* c = nullptr;
+  auto& idle = idle_[a.client];
+  if (!resent && !idle.empty()) {
+    c = connections_.Find(idle.back())->get();
+    idle.pop_back();
+    loop_.deadlines().Drop(c->deadline);
+  }
+  if (c != nullptr) {
+    c->record = record;
+    WriteTry(*c);
+    return;
+  }
+  const int router = PickRouter(a.hall);
+  truth_.tries.back().router = static_cast<std::int16_t>(router);
+  c = Open(router, a.client, false);
+  if (c == nullptr) {  // refused at once, or this process has no descriptor left
+    truth_.tries.back().end = TryEnd::kUnreachable;
+    truth_.tries.back().ended = loop_.Now();
+    loop_.deadlines().Set(loop_.Now(),
+                          [this, record] { Settle(truth_.tries[static_cast<std::size_t>(record)]); });
+    return;
+  }
+  c->record = record;
+  c->deadline = loop_.deadlines().Set(loop_.Now() + t.wait, [this, conn = c->id] {
+    Connection& at = **connections_.Find(conn);
+    at.deadline = {};
+    Finish(at, TryEnd::kUnreachable);
+  });
+}
+
+Load::Connection* Load::Open(int router, std::uint32_t client, bool flood) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return nullptr;
+  // Clients come from 127.0.1.x, a flood from 127.0.2.1.
+  sockaddr_in from{};
+  from.sin_family = AF_INET;
+  const std::uint32_t last =
+      flood ? 0x7f000201u : 0x7f000101u + client % static_cast<std::uint32_t>(scenario_.load.sources);
+  from.sin_addr.s_addr = htonl(last);
+  const int on = 1;
+  ::setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
+  ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  (void)!::bind(fd, reinterpret_cast<const sockaddr*>(&from), sizeof from);
+  auto owned = std::make_unique<Connection>();
+  Connection& c = *owned;
+  c.load = this;
+  c.router = router;
+  c.client = client;
+  c.flood = flood;
+  c.buffer.reset(bufferevent_socket_new(loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE));
+  c.id = connections_.Add(std::move(owned));
+  bufferevent_setcb(
+      c.buffer.get(),
+      [](bufferevent*, void* p) {
+        auto* at = static_cast<Connection*>(p);
+        at->load->OnRead(*at);
+      },
+      nullptr,
+      [](bufferevent*, short what, void* p) {
+        auto* at = static_cast<Connection*>(p);
+        at->load->OnEvent(*at, what);
+      },
+      &c);
+  bufferevent_enable(c.buffer.get(), EV_READ | EV_WRITE);
+  const std::uint64_t id = c.id;
+  const sockaddr_in& to = routers_[static_cast<std::size_t>(router)];
+  // A refusal at once may have gone through OnEvent already.
+  const bool begun =
+      bufferevent_socket_connect(c.buffer.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0;
+  auto* held = connections_.Find(id);
+  if (held == nullptr) return nullptr;
+  if (!begun) {
+    Close(id);
+    return nullptr;
+  }
+  ++(flood ? truth_.flood_connections : truth_.connections);
+  return held->get();
+}
+
+void Load::WriteTry(Connection& c) {
+  TryRecord& t = truth_.tries[static_cast<std::size_t>(c.record)];
+  const Arrival& a = works_[t.intent].arrival;
+  const ClassPlan& plan = scenario_.classes[a.job_class];
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(t.wait).count();
+  std::string labels = " O" + IdText(t.id) + " Pc=" + plan.name + ",t=" + scenario_.tenants[a.tenant].name +
+                       ",d=" + std::to_string(ms);
+  std::string text = (plan.write ? "ms " : "mg ") + KeyName(a.key);
+  if (plan.write) {
+    if (plan.repeats == Repeats::kKeyed) labels += ",k=" + IdText(a.id);
+    text += " 5" + labels + "\r\nwrite\r\n";
+  } else {
+    text += " v" + labels + "\r\n";
+  }
+  t.router = static_cast<std::int16_t>(c.router);
+  t.pooled = c.used;
+  t.sent = loop_.Now();
+  ++sent_;
+  bufferevent_write(c.buffer.get(), text.data(), text.size());
+  const Duration most = t.wait + scenario_.rules.answer_slack + kPatience;
+  c.deadline = loop_.deadlines().Set(t.sent + most, [this, id = c.id] {
+    Connection& at = **connections_.Find(id);
+    at.deadline = {};
+    Finish(at, TryEnd::kOpen);
+  });
+}
+
+void Load::OnRead(Connection& c) {
+  if (c.flood) {
+    evbuffer* in = bufferevent_get_input(c.buffer.get());
+    evbuffer_drain(in, evbuffer_get_length(in));
+    return;
+  }
+  if (c.record < 0) return Close(c.id);  // what nobody asked for
+  TryRecord& t = truth_.tries[static_cast<std::size_t>(c.record)];
+  std::size_t used = 0;
+  ClientAnswer answer;
+  const Parsed got = ParseClientAnswer(Gathered(c.buffer.get()), t.id, used, answer);
+  if (got == Parsed::kMore) return;
+  if (got == Parsed::kDone) evbuffer_drain(bufferevent_get_input(c.buffer.get()), used);
+  t.serial = answer.serial;
+  t.busy_for = answer.busy_for;
+  Finish(c, got == Parsed::kDone ? answer.end : TryEnd::kBad);
+}
+
+void Load::OnEvent(Connection& c, short what) {
+  if (what & BEV_EVENT_CONNECTED) {
+    c.up = true;
+    if (c.flood) return;
+    loop_.deadlines().Drop(c.deadline);
+    return WriteTry(c);
+  }
+  if (c.flood) {
+    const int router = c.router;
+    Close(c.id);
+    // It comes back as soon as it is closed.
+    loop_.deadlines().Set(loop_.Now() + std::chrono::milliseconds(1), [this, router] {
+      if (flooding_) Open(router, 0, true);
+    });
+    return;
+  }
+  if (c.record < 0) return Close(c.id);
+  const TryRecord t = truth_.tries[static_cast<std::size_t>(c.record)];
+  const bool nothing_came = evbuffer_get_length(bufferevent_get_input(c.buffer.get())) == 0;
+  if (c.up && c.used && nothing_came && !t.resent) {
+    // A kept connection that closed as the command was on its way: once more, on a new one.
+    TryRecord& crossed = truth_.tries[static_cast<std::size_t>(c.record)];
+    crossed.end = TryEnd::kClosed;
+    crossed.ended = loop_.Now();
+    ++truth_.crossed;
+    Close(c.id);
+    return Put(t.intent, t.id, t.number, true);
+  }
+  Finish(c, c.up ? TryEnd::kClosed : TryEnd::kUnreachable);
+}
+
+// The try that the connection carries has ended so.
+void Load::Finish(Connection& c, TryEnd end) {
+  TryRecord& t = truth_.tries[static_cast<std::size_t>(c.record)];
+  t.end = end;
+  t.ended = loop_.Now();
+  c.record = -1;
+  loop_.deadlines().Drop(c.deadline);
+  const TryRecord done = t;
+  const bool whole = end == TryEnd::kValue || end == TryEnd::kReceipt || end == TryEnd::kBusy ||
+                     end == TryEnd::kFailed || end == TryEnd::kError;
+  if (whole && scenario_.load.pool != Pool::kDrop) {
+    Rest(c);
+  } else {
+    if (end == TryEnd::kUnreachable) {
+      down_until_[static_cast<std::size_t>(c.router)] = loop_.Now() + scenario_.load.notice;
+    }
+    Close(c.id);
+  }
+  Settle(done);
+}
+
+// What becomes of the intent now.
+void Load::Settle(const TryRecord& t) {
+  Intent& intent = truth_.intents[t.intent];
+  Work& w = works_[t.intent];
+  const ClassPlan& plan = scenario_.classes[intent.job_class];
+  const Time now = loop_.Now();
+  const bool served = t.end == TryEnd::kValue || t.end == TryEnd::kReceipt;
+  const bool unreached = t.end == TryEnd::kUnreachable;
+  bool again = !served;
+  if (plan.repeats == Repeats::kNever) again = again && (t.end == TryEnd::kBusy || unreached);
+  if (plan.repeats == Repeats::kKeyed) again = again && now < intent.at + plan.window;
+  again = again && (unreached ? ++w.unreached <= kMostUnreached : w.tries < scenario_.load.retries);
+  Duration wait{0};
+  if (again && !unreached) {
+    ++w.tries;
+    wait = Duration(static_cast<std::int64_t>(static_cast<double>(scenario_.load.backoff.count()) *
+                                              (0.5 + Unit(rng_)) * (1 << std::min(w.tries - 1, 10))));
+    if (Chance(rng_, scenario_.load.honour)) wait = std::max(wait, t.busy_for);
+  }
+  if (again && now + wait + std::chrono::milliseconds(2) < intent.at + plan.give_up) {
+    loop_.deadlines().Set(now + wait, [this, n = t.intent] { Begin(n); });
+    return;
+  }
+  intent.done = true;
+  intent.served = served;
+  intent.ended = now;
+  --open_intents_;
+  served_ += served;
+}
+
+void Load::Rest(Connection& c) {
+  c.used = true;
+  c.deadline = loop_.deadlines().Set(loop_.Now() + scenario_.load.client_idle, [this, id = c.id] {
+    (*connections_.Find(id))->deadline = {};
+    Close(id);
+  });
+  // A client that hoards keeps its connections and never uses one again.
+  if (scenario_.load.pool == Pool::kKeep) idle_[c.client].push_back(c.id);
+}
+
+void Load::Close(std::uint64_t id) {
+  auto* held = connections_.Find(id);
+  if (held == nullptr) return;
+  const std::unique_ptr<Connection> c = std::move(*held);
+  connections_.Remove(id);
+  loop_.deadlines().Drop(c->deadline);
+  std::erase(idle_[c->client], id);
+}
+
+void Load::Flood(const FaultPlan& fault) {
+  flooding_ = true;
+  for (std::size_t r = 0; r < routers_.size(); ++r) {
+    for (int i = 0; i < static_cast<int>(fault.size); ++i) Open(static_cast<int>(r), 0, true);
+  }
+  loop_.deadlines().Set(start_ + fault.at + fault.length, [this] {
+    flooding_ = false;
+    std::vector<std::uint64_t> all;
+    connections_.Each([&](std::uint64_t id, auto& c) {
+      if (c->flood) all.push_back(id);
+    });
+    for (const std::uint64_t id : all) Close(id);
+  });
+}
+
+}  // namespace brasswood::lab
--- /dev/null
+++ b/lab/load/schedule.cpp
@@ -0,0 +1,76 @@
+#include "lab/load/schedule.h"
+
+#include <cmath>
+
+#include "lab/base/plan.h"
+
+namespace brasswood::lab {
+namespace {
+
+template <class Plans>
+std::discrete_distribution<int> ByShare(const Plans& plans) {
+  std::vector<double> shares;
+  for (const auto& p : plans) shares.push_back(p.share);
+  return {shares.begin(), shares.end()};
+}
+
+}  // namespace
+
+Schedule::Schedule(const Scenario& s)
+    : scenario_(s),
+      when_(MakeRng(s.seed, Stream::kArrivals)),
+      what_(MakeRng(s.seed, Stream::kContents)),
+      class_(ByShare(s.classes)),
+      tenant_(ByShare(s.tenants)),
+      hall_(s.load.hall_share.begin(), s.load.hall_share.end()),
+      zipf_(static_cast<std::size_t>(s.load.keys), s.load.zipf, s.load.zipf_offset),
+      clients_(s.halls.size()),
+      most_(s.load.rate) {
+  for (const FaultPlan& f : s.faults) {
+    if (f.kind == FaultKind::kBurst) most_ *= std::max(1.0, f.size);
+  }
+  // Clients stand with the halls by share, and at least one with each.
+  for (int c = 0; c < std::max<int>(s.load.clients, static_cast<int>(s.halls.size())); ++c) {
+    const auto hall = static_cast<std::size_t>(c) < s.halls.size() ? static_cast<std::size_t>(c)
+                                                                   : static_cast<std::size_t>(hall_(what_));
+    clients_[hall].push_back(static_cast<std::uint32_t>(c));
+  }
+}
+
+double Schedule::Rate(Duration at) const {
+  double rate = scenario_.load.rate;
+  for (const FaultPlan& f : scenario_.faults) {
+    if (f.kind == FaultKind::kBurst && Active(f, at)) rate *= f.size;
+  }
+  return rate;
+}
+
+std::optional<Arrival> Schedule::Next() {
+  if (scenario_.load.steady) {
+    at_ += Duration(static_cast<std::int64_t>(1e9 / std::max(Rate(at_), 1e-3)));
+  } else {
+    // Thinning (Lewis and Shedler 1979): draw at the highest rate, keep with the share of the present one.
+    do {
+      at_ += Duration(static_cast<std::int64_t>(std::exponential_distribution<double>(most_)(when_) * 1e9));
+    } while (at_ < scenario_.length && Unit(when_) >= Rate(at_) / most_);
+  }
+  if (at_ >= scenario_.length) return std::nullopt;
+  Arrival a;
+  a.at = at_;
+  a.job_class = static_cast<std::uint8_t>(class_(what_));
+  a.tenant = static_cast<std::uint8_t>(tenant_(what_));
+  a.hall = static_cast<std::uint8_t>(hall_(what_));
+  const auto& clients = clients_[a.hall];
+  a.client = clients[what_(static_cast<std::uint32_t>(clients.size()))];
+  const double seconds = static_cast<double>(at_.count()) / 1e9;
+  a.key = static_cast<long long>(zipf_(what_)) + static_cast<long long>(scenario_.load.drift * seconds);
+  for (const FaultPlan& f : scenario_.faults) {
+    if (f.kind != FaultKind::kHotKey || !Active(f, at_) || !Chance(what_, f.share)) continue;
+    // Keys that hardly anyone asked for until now.
+    a.key = scenario_.load.keys / 2 + what_(static_cast<std::uint32_t>(std::max(1.0, f.size)));
+  }
+  a.id = Mix(scenario_.seed << 32 ^ ++serial_);
+  return a;
+}
+
+}  // namespace brasswood::lab
--- /dev/null
+++ b/lab/main.cpp
@@ -0,0 +1,190 @@
+// brasswood-lab: the laboratory's command line.
+#include <signal.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <atomic>
+#include <filesystem>
+#include <iostream>
+
+#include "lab/run/studies.h"
+
+namespace {
+
+using namespace brasswood::lab;
+
+std::atomic<bool> g_interrupted{false};
+
+void OnInterrupt(int) { g_interrupted = true; }
+
+// "name" stands for lab/scenarios/name.toml where no file is called so.
+std::string FindScenario(const std::string& said) {
+  if (std::filesystem::exists(said)) return said;
+  const std::string shipped = "lab/scenarios/" + said + ".toml";
+  return std::filesystem::exists(shipped) ? shipped : said;
+}
+
+std::vector<std::string> Words(const std::string& command) {
+  std::vector<std::string> words;
+  std::istringstream in(command);
+  for (std::string word; in >> word;) words.push_back(word);
+  if (words.empty()) words.emplace_back("build/brasswood");
+  return words;
+}
+
+Exit ExitOf(Verdict verdict) {
+  switch (verdict) {
+    case Verdict::kPassed:
+      return Exit::kFine;
+    case Verdict::kFailed:
+      return Exit::kFailed;
+    case Verdict::kVoid:
+      return Exit::kVoid;
+    default:
+      return Exit::kPartial;
+  }
+}
+
+Exit RunScenario(const Study& study, const Side& side, bool terminal) {
+  Overrides overrides = study.overrides;
+  if (study.seed != 0) overrides.push_back("seed=" + std::to_string(study.seed));
+  const Scenario scenario = LoadScenario(study.scenario, overrides);
+  RunOptions options;
+  options.router = side.router;
+  options.folder = study.folder;
+  options.interrupted = study.interrupted;
+  const auto whole = std::chrono::duration_cast<std::chrono::seconds>(scenario.length).count();
+  if (terminal) {
+    options.progress = [whole](brasswood::Duration at, std::uint64_t sent, std::uint64_t served) {
+      std::cerr << "\r" << std::chrono::duration_cast<std::chrono::seconds>(at).count() << " of " << whole
+                << " s, sent " << sent << ", served " << served << "   " << std::flush;
+    };
+  }
+  const Outcome outcome = RunOnce(scenario, options);
+  if (terminal) std::cerr << "\r\x1b[K";
+  const Figures figures = Measure(outcome);
+  WriteAll(study.folder, outcome, figures);
+  std::cout << Summary(outcome, figures) << "  report: " << study.folder << "/report.html\n";
+  return ExitOf(Decide(outcome, figures));
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  struct sigaction action {};
+  action.sa_handler = OnInterrupt;
+  ::sigaction(SIGINT, &action, nullptr);
+  ::sigaction(SIGTERM, &action, nullptr);
+  ::signal(SIGPIPE, SIG_IGN);
+
+  CLI::App app{"The laboratory of brasswood: emulated platform, load, faults, a judge, and reports."};
+  app.require_subcommand(1);
+  app.footer(
+      "Exit codes: 0 fine; 1 a rule was broken or an expectation missed; 2 bad usage or scenario;\n"
+      "3 void, the laboratory itself could not keep up; 4 interrupted, the result is partial.");
+  Study study;
+  study.interrupted = &g_interrupted;
+  study.folder = "lab-out";
+  std::string router = "build/brasswood", router_b;
+  Overrides set_a, set_b;
+  bool quiet = false;
+  const auto common = [&](CLI::App* sub) {
+    sub->add_option("scenario", study.scenario, "A scenario file, or the name of one in lab/scenarios")
+        ->required();
+    sub->add_option("--out", study.folder, "Folder for results, logs and reports")->capture_default_str();
+    sub->add_option("--set", study.overrides, "Change a key of the scenario: load.rate=300 (repeatable)")
+        ->allow_extra_args(false);
+    sub->add_option("--seed", study.seed, "Seed, in place of the scenario's");
+    sub->add_flag("--quiet", quiet, "No progress");
+  };
+  CLI::App* run = app.add_subcommand("run", "Play a scenario once and judge it");
+  common(run);
+  run->add_option("--router", router, "The router's program and its arguments")->capture_default_str();
+
+  CLI::App* compare =
+      app.add_subcommand("compare", "Play two builds or settings in turn and compare them in pairs");
+  common(compare);
+  compare->add_option("--a", router, "The first router")->capture_default_str();
+  compare->add_option("--b", router_b, "The second router (default: the first)");
+  compare->add_option("--set-a", set_a, "A change for the first side only")->allow_extra_args(false);
+  compare->add_option("--set-b", set_b, "A change for the second side only")->allow_extra_args(false);
+  compare->add_option("--runs", study.runs, "Pairs")->check(CLI::Range(1, 1000))->capture_default_str();
+
+  CLI::App* sweep = app.add_subcommand("sweep", "One row of figures for each value of a parameter");
+  common(sweep);
+  std::string parameter;
+  std::vector<std::string> values;
+  int sweep_runs = 1;
+  sweep->add_option("--param", parameter, "The key to change")->required();
+  sweep->add_option("--values", values, "Its values")->required()->delimiter(',');
+  sweep->add_option("--runs", sweep_runs, "Runs for each value")
+      ->check(CLI::Range(1, 1000))
+      ->capture_default_str();
+  sweep->add_option("--router", router, "The router's program and its arguments")->capture_default_str();
+
+  CLI::App* capacity = app.add_subcommand("capacity", "The highest rate at which an aim holds");
+  common(capacity);
+  Aim aim;
+  double low = 50, high = 5000;
+  int steps = 8;
+  capacity->add_option("--in-time", aim.in_time, "Least share in time")
+      ->check(CLI::Range(0.0, 1.0))
+      ->capture_default_str();
+  capacity->add_option("--p99", aim.p99_ms, "Highest 99th percentile, in ms");
+  capacity->add_option("--low", low, "A rate that holds")
+      ->check(CLI::PositiveNumber)
+      ->capture_default_str();
+  capacity->add_option("--high", high, "A rate that is too much")
+      ->check(CLI::PositiveNumber)
+      ->capture_default_str();
+  capacity->add_option("--steps", steps, "Runs")->check(CLI::Range(1, 100))->capture_default_str();
+  capacity->add_option("--router", router, "The router's program and its arguments")->capture_default_str();
+
+  CLI::App* ceiling =
+      app.add_subcommand("ceiling", "What the emulator itself can serve, with no router between");
+  double rate = 20000, seconds = 4;
+  ceiling->add_option("--rate", rate, "Requests a second")
+      ->check(CLI::PositiveNumber)
+      ->capture_default_str();
+  ceiling->add_option("--seconds", seconds, "For so long")
+      ->check(CLI::Range(0.5, 600.0))
+      ->capture_default_str();
+  ceiling->add_option("--out", study.folder, "Folder")->capture_default_str();
+
+  CLI::App* check = app.add_subcommand("check", "Check scenario files");
+  std::vector<std::string> files;
+  check->add_option("scenarios", files, "Files")->required();
+
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : static_cast<int>(Exit::kBadUse);
+  }
+  try {
+    const bool terminal = !quiet && ::isatty(STDERR_FILENO) != 0;
+    if (!quiet) study.progress = &std::cerr;
+    study.scenario = FindScenario(study.scenario);
+    const Side side{Words(router), set_a};
+    Exit exit = Exit::kFine;
+    if (*run) exit = RunScenario(study, side, terminal);
+    if (*compare) {
+      exit = CompareSides(study, side, {Words(router_b.empty() ? router : router_b), set_b}, std::cout);
+    }
+    if (*sweep) {
+      study.runs = sweep_runs;
+      exit = Sweep(study, side, parameter, values, std::cout);
+    }
+    if (*capacity) exit = FindCapacity(study, side, aim, low, high, steps, std::cout);
+    if (*ceiling) exit = FindCeiling(rate, seconds, study.folder, std::cout);
+    if (*check) {
+      for (const std::string& file : files) {
+        (void)LoadScenario(FindScenario(file));
+        std::cout << file << ": fine\n";
+      }
+    }
+    return static_cast<int>(exit);
+  } catch (const std::exception& e) {
+    std::cerr << e.what() << "\n";
+    return static_cast<int>(Exit::kBadUse);
+  }
+}
--- /dev/null
+++ b/lab/report/figures.cpp
@@ -0,0 +1,305 @@
+#include "lab/report/figures.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "lab/base/histogram.h"
+
+namespace brasswood::lab {
+namespace {
+
+constexpr double kBin = 0.5;  // seconds
+
+double Seconds(Duration d) { return static_cast<double>(d.count()) / 1e9; }
+
+template <class N, class D>
+double Share(N part, D whole) {
+  return whole == D{} ? 0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+LatencyFigures Describe(const LatencyHistogram& h) {
+  return {h.count(), h.Percentile(0.5), h.Percentile(0.9), h.Percentile(0.99), h.Percentile(0.999)};
+}
+
+struct Tally {
+  ClassFigures figures;
+  LatencyHistogram latency;
+  void Add(Ending ending, Duration took) {
+    ++figures.asked;
+    ++figures.endings[static_cast<std::size_t>(ending)];
+    if (ending == Ending::kInTime || ending == Ending::kLate) latency.Add(took);
+  }
+  ClassFigures Done() {
+    figures.latency = Describe(latency);
+    return figures;
+  }
+};
+
+class Measurer {
+ public:
+  explicit Measurer(const Outcome& outcome) : outcome_(outcome), t_(outcome.truth), s_(t_.scenario) {}
+
+  Figures Take() {
+    last_.assign(t_.load.intents.size(), nullptr);
+    for (const TryRecord& t : t_.load.tries) last_[t.intent] = &t;
+    f_.length_s = Seconds(s_.length - s_.warm_up);
+    f_.bins.resize(static_cast<std::size_t>(std::ceil(Seconds(s_.length) / kBin)));
+    for (std::size_t b = 0; b < f_.bins.size(); ++b) f_.bins[b].at_s = static_cast<double>(b) * kBin;
+    TakeIntents();
+    TakeTries();
+    TakeClaims();
+    TakeRouters();
+    TakeFaults();
+    return std::move(f_);
+  }
+
+ private:
+  Ending EndingOf(std::size_t n) const {
+    const Intent& intent = t_.load.intents[n];
+    if (intent.served) {
+      return intent.ended - intent.at <= s_.classes[intent.job_class].aim ? Ending::kInTime : Ending::kLate;
+    }
+    if (last_[n] == nullptr) return Ending::kUnanswered;
+    switch (last_[n]->end) {
+      case TryEnd::kBusy:
+        return Ending::kRefused;
+      case TryEnd::kFailed:
+      case TryEnd::kError:
+      case TryEnd::kBad:
+        return Ending::kFailed;
+      default:
+        return Ending::kUnanswered;
+    }
+  }
+
+  bool Counts(Time at) const { return at >= t_.start + s_.warm_up; }
+
+  Bin* BinOf(Time at) {
+    const double n = Seconds(at - t_.start) / kBin;
+    return n < 0 || n >= static_cast<double>(f_.bins.size()) ? nullptr
+                                                             : &f_.bins[static_cast<std::size_t>(n)];
+  }
+
+  void TakeIntents() {
+    Tally all;
+    std::vector<Tally> classes(s_.classes.size()), tenants(s_.tenants.size()), halls(s_.halls.size());
+    std::vector<LatencyHistogram> latencies(f_.bins.size());
+    double worth = 0, got = 0;
+    for (std::size_t n = 0; n < t_.load.intents.size(); ++n) {
+      const Intent& intent = t_.load.intents[n];
+      if (outcome_.partial && !intent.done) continue;
+      const Ending ending = EndingOf(n);
+      const Duration took = intent.ended - intent.at;
+      if (Bin* bin = BinOf(intent.at)) {
+        ++bin->asked;
+        ++bin->endings[static_cast<std::size_t>(ending)];
+        if (intent.served) latencies[static_cast<std::size_t>(bin - f_.bins.data())].Add(took);
+      }
+      if (!Counts(intent.at)) continue;
+      all.Add(ending, took);
+      classes[intent.job_class].Add(ending, took);
+      tenants[intent.tenant].Add(ending, took);
+      halls[intent.hall].Add(ending, took);
+      worth += s_.classes[intent.job_class].worth;
+      if (ending == Ending::kInTime) got += s_.classes[intent.job_class].worth;
+    }
+    const auto fill = [](std::vector<Tally>& from, const auto& names, std::vector<ClassFigures>& to) {
+      for (std::size_t i = 0; i < from.size(); ++i) {
+        to.push_back(from[i].Done());
+        if constexpr (requires { names[i].name; }) {
+          to.back().name = names[i].name;
+        } else {
+          to.back().name = names[i];
+        }
+      }
+    };
+    f_.all = all.Done();
+    f_.all.name = "all";
+    f_.asked = f_.all.asked;
+    fill(classes, s_.classes, f_.classes);
+    fill(tenants, s_.tenants, f_.tenants);
+    fill(halls, s_.halls, f_.halls);
+    f_.worth_in_time = Share(got, worth);
+    for (std::size_t b = 0; b < f_.bins.size(); ++b) f_.bins[b].latency = Describe(latencies[b]);
+  }
+
+  void TakeTries() {
+    std::uint64_t tries = 0, pooled = 0, crossed = 0;
+    for (const TryRecord& t : t_.load.tries) {
+      if (Bin* bin = t.sent == Time(0) ? nullptr : BinOf(t.sent)) ++bin->tries;
+      if (!Counts(t.sent)) continue;
+      tries += !t.resent;
+      pooled += t.pooled && !t.resent;
+      crossed += t.resent;
+    }
+    f_.tries_per_request = Share(tries, f_.asked);
+    f_.reused_share = Share(pooled, tries);
+    f_.crossed_share = Share(crossed, tries);
+    f_.connections_per_request = Share(t_.load.connections, t_.load.intents.size());
+  }
+
+  void TakeClaims() {
+    std::vector<double> work(t_.world.machines.size());
+    std::uint64_t claims = 0, at_nodes = 0, hits = 0, fetches = 0, crossing = 0;
+    std::vector<NodeFigures> all(t_.world.machines.size());
+    for (const ClaimRecord& c : t_.world.claims) {
+      const auto m = static_cast<std::size_t>(c.machine);
+      if (Bin* bin = BinOf(c.whole)) {
+        ++bin->claims;
+        if (c.machine == kOrigin) {
+          bin->origin_load += c.work_s / (t_.world.machines[0].capacity.full * kBin);
+          bin->fetches += !c.write;
+        }
+      }
+      if (!Counts(c.whole)) continue;
+      ++claims;
+      work[m] += c.work_s;
+      NodeFigures& n = all[m];
+      ++n.claims;
+      n.hits += c.fate == Fate::kHit;
+      n.misses += c.fate == Fate::kMiss;
+      n.turned_away += c.fate == Fate::kTurnedAway;
+      if (c.machine == kOrigin) {
+        fetches += !c.write;
+        continue;
+      }
+      ++at_nodes;
+      hits += c.fate == Fate::kHit;
+      crossing += t_.world.machines[m].hall != c.router / s_.routers.per_hall;
+    }
+    for (std::size_t m = 0; m < all.size(); ++m) {
+      const MachineRecord& record = t_.world.machines[m];
+      const Time from = std::max(record.capacity.started, t_.start + s_.warm_up);
+      const Time until = std::min(record.gone == Time(0) ? Time::max() : record.gone, t_.start + s_.length);
+      all[m].uid = record.uid;
+      all[m].hall = s_.halls[static_cast<std::size_t>(record.hall)];
+      all[m].cold_start = record.capacity.started != Time(0);
+      all[m].load = until > from ? work[m] / (record.capacity.full * Seconds(until - from)) : 0;
+    }
+    f_.nodes = std::move(all);
+    f_.claims_per_request = Share(claims, f_.asked);
+    f_.fetches_per_request = Share(fetches, f_.asked);
+    f_.hit_share = Share(hits, at_nodes);
+    f_.crossing_share = Share(crossing, at_nodes);
+    f_.origin_falls = t_.world.origin_fell.size();
+    for (std::size_t b = 0; b + 1 < f_.bins.size(); ++b) {
+      if (f_.bins[b].at_s < Seconds(s_.warm_up)) continue;
+      f_.origin_peak = std::max(f_.origin_peak, (f_.bins[b].origin_load + f_.bins[b + 1].origin_load) / 2);
+    }
+  }
+
+  void TakeRouters() {
+    f_.routers.resize(t_.router_logs.size());
+    for (const Sample& sample : outcome_.samples) {
+      RouterFigures& r = f_.routers[static_cast<std::size_t>(sample.router)];
+      if (sample.at > Duration(0)) r.cpu_share = sample.usage.cpu_s / Seconds(sample.at);
+      r.memory_mb = std::max(r.memory_mb, sample.usage.memory_mb);
+      r.descriptors = std::max(r.descriptors, sample.usage.descriptors);
+    }
+    f_.cpu_us_per_request = Share(outcome_.router_cpu_s * 1e6, t_.load.intents.size());
+  }
+
+  // Share in time of the sends between two times, in seconds from the start.
+  double InTime(double from, double until, double& asked) const {
+    double in_time = 0;
+    asked = 0;
+    for (const Bin& bin : f_.bins) {
+      if (bin.at_s < from - 1e-9 || bin.at_s >= until - 1e-9) continue;
+      asked += static_cast<double>(bin.asked);
+      in_time += static_cast<double>(bin.endings[0]);
+    }
+    return asked == 0 ? 1 : in_time / asked;
+  }
+
+  void TakeFaults() {
+    for (const FaultPlan& plan : s_.faults) {
+      FaultFigures f;
+      f.kind = kFaultNames[static_cast<std::size_t>(plan.kind)];
+      f.from_s = Seconds(plan.at);
+      f.until_s = std::min(Seconds(s_.length), Seconds(plan.at + plan.length));
+      // What a later fault does is not this one's.
+      double end = Seconds(s_.length);
+      for (const FaultPlan& other : s_.faults) {
+        if (other.at >= plan.at + plan.length && &other != &plan) end = std::min(end, Seconds(other.at));
+      }
+      const double first = std::floor(f.from_s / kBin) * kBin;
+      double asked = 0;
+      f.before = InTime(Seconds(s_.warm_up), first, asked);
+      f.lowest = 1;
+      double worst = first;
+      for (double at = first; at + 1 <= end + 1e-9; at += kBin) {
+        const double share = InTime(at, at + 1, asked);
+        if (asked > 0 && share < f.lowest) {
+          f.lowest = share;
+          worst = at;
+        }
+      }
+      f.recovered_s = f.recovered_after_s = -1;
+      double back = end;
+      if (f.lowest >= f.before - 0.01) {
+        f.recovered_s = 0;
+        back = first;
+      }
+      for (double at = worst; f.recovered_s < 0 && at + 2 <= end + 1e-9; at += kBin) {
+        if (InTime(at, at + 2, asked) < f.before - 0.01) continue;
+        f.recovered_s = std::max(0.0, at - f.from_s);
+        back = at;
+      }
+      if (f.recovered_s >= 0) f.recovered_after_s = std::max(0.0, f.from_s + f.recovered_s - f.until_s);
+      const double share = InTime(first, back, asked);
+      f.lost = std::max(0.0, (f.before - share) * asked);
+      double before = 0, after = 0;
+      const double look = std::max(back, f.until_s);
+      for (const Bin& bin : f_.bins) {
+        if (bin.at_s >= Seconds(s_.warm_up) && bin.at_s < first) before += static_cast<double>(bin.fetches);
+        if (bin.at_s >= first && bin.at_s < look) after += static_cast<double>(bin.fetches);
+      }
+      const double quiet = first - Seconds(s_.warm_up);
+      if (quiet > 0) f.extra_fetches = after - before / quiet * (look - first);
+      f_.faults.push_back(f);
+    }
+  }
+
+  const Outcome& outcome_;
+  const Truth& t_;
+  const Scenario& s_;
+  std::vector<const TryRecord*> last_;
+  Figures f_;
+};
+
+}  // namespace
+
+Figures Measure(const Outcome& outcome) { return Measurer(outcome).Take(); }
+
+std::vector<Metric> Metrics(const Figures& f) {
+  double recovered = 0, lost = 0, extra = 0;
+  for (const FaultFigures& fault : f.faults) {
+    recovered += fault.recovered_s < 0 ? f.length_s : fault.recovered_s;
+    lost += fault.lost;
+    extra += fault.extra_fetches;
+  }
+  std::vector<Metric> all = {
+      {"in time", "share", true, f.all.in_time()},
+      {"worth in time", "share", true, f.worth_in_time},
+      {"latency p50", "ms", false, f.all.latency.p50},
+      {"latency p99", "ms", false, f.all.latency.p99},
+      {"latency p99.9", "ms", false, f.all.latency.p999},
+      {"tries per request", "", false, f.tries_per_request},
+      {"claims per request", "", false, f.claims_per_request},
+      {"fetches per request", "", false, f.fetches_per_request},
+      {"hit share", "share", true, f.hit_share},
+      {"crossing share", "share", false, f.crossing_share},
+      {"connections per request", "", false, f.connections_per_request},
+      {"closed at rest", "share", false, f.crossed_share},
+      {"origin peak", "of capacity", false, f.origin_peak},
+      {"router CPU per request", "us", false, f.cpu_us_per_request},
+  };
+  if (!f.faults.empty()) {
+    all.push_back({"time to recover", "s", false, recovered});
+    all.push_back({"lost to faults", "requests", false, lost});
+    all.push_back({"extra fetches", "", false, extra});
+  }
+  return all;
+}
+
+}  // namespace brasswood::lab
--- /dev/null
+++ b/lab/report/write.cpp
@@ -0,0 +1,275 @@
+#include "lab/report/write.h"
+
+#include <rapidjson/prettywriter.h>
+#include <rapidjson/stringbuffer.h>
+
+#include <cstdio>
+#include <fstream>
+#include <iomanip>
+#include <sstream>
+#include <stdexcept>
+
+namespace brasswood::lab {
+namespace {
+
+constexpr std::size_t kMostStories = 50;
+
+using Writer = rapidjson::PrettyWriter<rapidjson::StringBuffer>;
+
+class Json {
+ public:
+  explicit Json(Writer& w) : w_(w) {}
+  void Put(const char* key, double v) {
+    w_.Key(key);
+    w_.Double(v);
+  }
+  void Put(const char* key, std::uint64_t v) {
+    w_.Key(key);
+    w_.Uint64(v);
+  }
+  void Put(const char* key, bool v) {
+    w_.Key(key);
+    w_.Bool(v);
+  }
+  void Put(const char* key, const std::string& v) {
+    w_.Key(key);
+    w_.String(v.c_str());
+  }
+  template <class F>
+  void Object(const char* key, F fill) {
+    if (key != nullptr) w_.Key(key);
+    w_.StartObject();
+    fill();
+    w_.EndObject();
+  }
+  template <class Items, class F>
+  void Array(const char* key, const Items& items, F each) {
+    w_.Key(key);
+    w_.StartArray();
+    for (const auto& item : items) Object(nullptr, [&] { each(item); });
+    w_.EndArray();
+  }
+  void Texts(const char* key, const std::vector<std::string>& texts) {
+    w_.Key(key);
+    w_.StartArray();
+    for (const std::string& t : texts) w_.String(t.c_str());
+    w_.EndArray();
+  }
+
+ private:
+  Writer& w_;
+};
+
+void PutEndings(Json& j, const std::uint64_t (&endings)[kEndings]) {
+  j.Object("endings", [&] {
+    for (std::size_t i = 0; i < kEndings; ++i) j.Put(std::string(kEndingNames[i]).c_str(), endings[i]);
+  });
+}
+
+void PutLatency(Json& j, const LatencyFigures& l) {
+  j.Object("latency_ms", [&] {
+    j.Put("count", l.count);
+    j.Put("p50", l.p50);
+    j.Put("p90", l.p90);
+    j.Put("p99", l.p99);
+    j.Put("p999", l.p999);
+  });
+}
+
+void PutClass(Json& j, const ClassFigures& c) {
+  j.Put("name", c.name);
+  j.Put("asked", c.asked);
+  PutEndings(j, c.endings);
+  PutLatency(j, c.latency);
+}
+
+}  // namespace
+
+std::vector<std::string> Unmet(const Outcome& outcome, const Figures& f) {
+  const ExpectPlan& e = outcome.truth.scenario.expect;
+  std::vector<std::string> all;
+  std::ostringstream text;
+  text << std::setprecision(4);
+  if (f.all.in_time() < e.in_time) {
+    text << "in time " << f.all.in_time() << ", expected at least " << e.in_time;
+    all.push_back(text.str());
+  }
+  for (const FaultFigures& fault : f.faults) {
+    if (e.recovered_s <= 0 || (fault.recovered_after_s >= 0 && fault.recovered_after_s <= e.recovered_s))
+      continue;
+    all.push_back(fault.kind + ": not recovered within " + std::to_string(e.recovered_s) +
+                  " s after its end");
+  }
+  return all;
+}
+
+Verdict Decide(const Outcome& outcome, const Figures& figures) {
+  if (!outcome.breaches.empty() || !outcome.troubles.empty()) return Verdict::kFailed;
+  if (outcome.partial) return Verdict::kPartial;
+  if (!outcome.void_because.empty()) return Verdict::kVoid;
+  return Unmet(outcome, figures).empty() ? Verdict::kPassed : Verdict::kFailed;
+}
+
+std::string_view Name(Verdict verdict) {
+  static constexpr std::string_view kNames[] = {"passed", "failed", "void", "partial"};
+  return kNames[static_cast<std::size_t>(verdict)];
+}
+
+std::string ResultJson(const Outcome& outcome, const Figures& f) {
+  rapidjson::StringBuffer text;
+  Writer w(text);
+  w.SetIndent(' ', 1);
+  Json j(w);
+  const Scenario& s = outcome.truth.scenario;
+  j.Object(nullptr, [&] {
+    j.Put("version", std::uint64_t{kResultVersion});
+    j.Put("scenario", s.name);
+    j.Put("seed", s.seed);
+    j.Put("verdict", std::string(Name(Decide(outcome, f))));
+    j.Texts("void_because", outcome.void_because);
+    j.Texts("troubles", outcome.troubles);
+    j.Texts("unmet", Unmet(outcome, f));
+    j.Array("breaches", outcome.breaches, [&](const Breach& b) {
+      j.Put("rule", std::string(kRuleNames[static_cast<std::size_t>(b.rule)]));
+      j.Put("request", IdText(b.request));
+      j.Put("at_s", static_cast<double>((b.at - outcome.truth.start).count()) / 1e9);
+      j.Put("what", b.what);
+    });
+    j.Put("length_s", f.length_s);
+    j.Object("metrics", [&] {
+      for (const Metric& m : Metrics(f)) j.Put(m.name.c_str(), m.value);
+    });
+    j.Object("all", [&] { PutClass(j, f.all); });
+    j.Array("classes", f.classes, [&](const ClassFigures& c) { PutClass(j, c); });
+    j.Array("tenants", f.tenants, [&](const ClassFigures& c) { PutClass(j, c); });
+    j.Array("halls", f.halls, [&](const ClassFigures& c) { PutClass(j, c); });
+    j.Array("faults", f.faults, [&](const FaultFigures& x) {
+      j.Put("kind", x.kind);
+      j.Put("from_s", x.from_s);
+      j.Put("until_s", x.until_s);
+      j.Put("before", x.before);
+      j.Put("lowest", x.lowest);
+      j.Put("recovered_s", x.recovered_s);
+      j.Put("recovered_after_s", x.recovered_after_s);
+      j.Put("lost", x.lost);
+      j.Put("extra_fetches", x.extra_fetches);
+    });
+    j.Array("nodes", f.nodes, [&](const NodeFigures& n) {
+      j.Put("uid", n.uid);
+      j.Put("hall", n.hall);
+      j.Put("cold_start", n.cold_start);
+      j.Put("claims", n.claims);
+      j.Put("hits", n.hits);
+      j.Put("misses", n.misses);
+      j.Put("turned_away", n.turned_away);
+      j.Put("load", n.load);
+    });
+    j.Array("routers", f.routers, [&](const RouterFigures& r) {
+      j.Put("cpu_share", r.cpu_share);
+      j.Put("memory_mb", r.memory_mb);
+      j.Put("descriptors", static_cast<std::uint64_t>(r.descriptors));
+    });
+    j.Array("bins", f.bins, [&](const Bin& b) {
+      j.Put("at_s", b.at_s);
+      j.Put("asked", b.asked);
+      PutEndings(j, b.endings);
+      PutLatency(j, b.latency);
+      j.Put("origin_load", b.origin_load);
+      j.Put("fetches", b.fetches);
+      j.Put("claims", b.claims);
+      j.Put("tries", b.tries);
+    });
+    j.Object("laboratory", [&] {
+      const Truth& t = outcome.truth;
+      j.Put("schedule_late_p999_ms", static_cast<double>(t.load.late_p999.count()) / 1e6);
+      j.Put("schedule_late_max_ms", static_cast<double>(t.load.late_max.count()) / 1e6);
+      j.Put("emulator_lag_max_ms", static_cast<double>(t.world.lag.count()) / 1e6);
+      j.Put("emulator_cpu_s", static_cast<double>(t.world.cpu.count()) / 1e9);
+      j.Put("load_cpu_s", static_cast<double>(t.load.cpu.count()) / 1e9);
+      j.Put("connections", t.load.connections);
+      j.Put("flood_connections", t.load.flood_connections);
+    });
+  });
+  return text.GetString();
+}
+
+std::string Summary(const Outcome& outcome, const Figures& f) {
+  std::ostringstream out;
+  out << std::fixed;
+  const Scenario& s = outcome.truth.scenario;
+  out << s.name << ": " << Name(Decide(outcome, f)) << "\n";
+  for (const std::string& why : outcome.void_because) out << "  void: " << why << "\n";
+  for (const std::string& what : outcome.troubles) out << "  trouble: " << what << "\n";
+  for (const std::string& what : Unmet(outcome, f)) out << "  unmet: " << what << "\n";
+  out << std::setprecision(1) << "  " << f.asked << " requests in " << f.length_s << " s\n";
+  out << std::left << std::setw(20) << "  class" << std::right << std::setw(8) << "asked";
+  for (const auto name : kEndingNames) out << std::setw(12) << name;
+  out << std::setw(10) << "p50 ms" << std::setw(10) << "p99 ms" << std::setw(12) << "p99.9 ms"
+      << "\n";
+  const auto row = [&](const ClassFigures& c) {
+    out << "  " << std::left << std::setw(18) << c.name << std::right << std::setw(8) << c.asked;
+    for (const std::uint64_t n : c.endings) {
+      out << std::setw(11) << std::setprecision(2)
+          << (c.asked == 0 ? 0 : 100 * static_cast<double>(n) / static_cast<double>(c.asked)) << "%";
+    }
+    out << std::setprecision(1) << std::setw(10) << c.latency.p50 << std::setw(10) << c.latency.p99
+        << std::setw(12) << c.latency.p999 << "\n";
+  };
+  for (const ClassFigures& c : f.classes) row(c);
+  row(f.all);
+  out << std::setprecision(3) << "  hits " << f.hit_share << ", claims a request " << f.claims_per_request
+      << ", tries a request " << f.tries_per_request << ", fetches a request " << f.fetches_per_request
+      << ", crossing " << f.crossing_share << "\n  connections a request " << f.connections_per_request
+      << ", met closed at rest " << f.crossed_share << "\n"
+      << "  origin at most at " << f.origin_peak << " of its capacity, fell " << f.origin_falls
+      << " times; router CPU " << std::setprecision(0) << f.cpu_us_per_request << " us a request\n";
+  out << std::setprecision(2);
+  for (const FaultFigures& x : f.faults) {
+    out << "  " << x.kind << " from " << x.from_s << " to " << x.until_s << " s: in time " << x.before
+        << " before, " << x.lowest << " in the worst second; ";
+    if (x.recovered_s < 0) {
+      out << "not recovered";
+    } else {
+      out << "back " << x.recovered_s << " s after its start, " << x.recovered_after_s
+          << " s after its end";
+    }
+    out << "; lost " << x.lost << " requests, " << x.extra_fetches << " extra fetches\n";
+  }
+  out << "  rules: ";
+  if (outcome.breaches.empty()) {
+    out << "all kept\n";
+  } else {
+    out << outcome.breaches.size() << " times broken; the first:\n"
+        << Story(outcome.truth, outcome.breaches[0]);
+  }
+  return out.str();
+}
+
+namespace {
+
+void Put(const std::string& path, const std::string& text) {
+  {
+    std::ofstream out(path + ".part", std::ios::trunc | std::ios::binary);
+    out << text;
+    if (!out.flush()) throw std::runtime_error(path + ": cannot be written");
+  }
+  if (std::rename((path + ".part").c_str(), path.c_str()) != 0) {
+    throw std::runtime_error(path + ": cannot be written");
+  }
+}
+
+}  // namespace
+
+void WriteAll(const std::string& folder, const Outcome& outcome, const Figures& figures) {
+  Put(folder + "/result.json", ResultJson(outcome, figures));
+  Put(folder + "/report.html", ReportHtml(outcome, figures));
+  Put(folder + "/summary.txt", Summary(outcome, figures));
+  if (outcome.breaches.empty()) return;
+  std::string stories;
+  for (std::size_t i = 0; i < outcome.breaches.size() && i < kMostStories; ++i) {
+    stories += Story(outcome.truth, outcome.breaches[i]) + "\n";
+  }
+  Put(folder + "/stories.txt", stories);
+}
+
+}  // namespace brasswood::lab
--- /dev/null
+++ b/lab/run/experiment.cpp
@@ -0,0 +1,225 @@
+#include "lab/run/experiment.h"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <cmath>
+#include <filesystem>
+#include <memory>
+#include <sstream>
+#include <thread>
+
+#include "lab/base/plan.h"
+#include "lab/load/load.h"
+#include "lab/world/world.h"
+
+namespace brasswood::lab {
+namespace {
+
+using std::chrono::milliseconds;
+
+// The laboratory may lag by this much and still judge: limits on time are widened by what it did lag.
+constexpr Duration kMostLag = milliseconds(250);
+
+class Run {
+ public:
+  Run(const Scenario& scenario, const RunOptions& options) : options_(options), world_(scenario) {
+    out_.truth.scenario = scenario;
+    std::filesystem::create_directories(options.folder);
+    RaiseDescriptorLimit();
+  }
+
+  Outcome Play() {
+    const Scenario& s = out_.truth.scenario;
+    std::vector<std::string> entries;
+    if (options_.direct) {
+      entries.assign(static_cast<std::size_t>(world_.routers()), world_.NodeEndpoints(0).front());
+    } else {
+      for (int r = 0; r < world_.routers(); ++r) {
+        routers_.push_back(std::make_unique<RouterProcess>(s, r, options_.router, options_.folder));
+        entries.push_back(routers_.back()->listen());
+        out_.truth.router_logs.push_back(routers_.back()->log());
+      }
+    }
+    Load load(s, entries);
+    // The platform runs before the routers do: they ask discovery at once.
+    std::thread platform([&] { world_.Run(); });
+    for (const auto& router : routers_) Launch(*router);
+    std::thread clients;
+    bool ready = true;
+    for (std::size_t r = 0; r < routers_.size(); ++r) {
+      ready = AwaitReady(*routers_[r]);
+      if (!ready) {
+        out_.troubles.push_back("router " + std::to_string(r) + " is not ready; its log is " +
+                                routers_[r]->log());
+        break;
+      }
+    }
+    if (ready) {
+      const Time start = clock_.Now() + milliseconds(200);
+      out_.truth.start = start;
+      world_.Start(start);
+      std::atomic<bool> done{false};
+      clients = std::thread([&] {
+        load.Run(start);
+        done = true;
+      });
+      Watch(load, done);
+      load.Stop();
+      clients.join();
+    }
+    StopRouters();
+    world_.Stop();
+    platform.join();
+    out_.truth.world = world_.TakeTruth();
+    out_.truth.load = load.TakeTruth();
+    if (!ready) return std::move(out_);
+    Weigh();
+    if (!options_.direct) out_.breaches = Judge(out_.truth);
+    return std::move(out_);
+  }
+
+ private:
+  // The emulator holds both ends of some thousand connections.
+  static void RaiseDescriptorLimit() {
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+    limit.rlim_cur = limit.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+  }
+
+  Duration Since() const { return clock_.Now() - out_.truth.start; }
+
+  void Launch(RouterProcess& router) {
+    const int number = static_cast<int>(
+        std::find_if(routers_.begin(), routers_.end(), [&](const auto& r) { return r.get() == &router; }) -
+        routers_.begin());
+    router.Start(world_.DiscoveryEndpoint(number), world_.Known(number));
+  }
+
+  bool AwaitReady(RouterProcess& router) {
+    const Time until = clock_.Now() + std::chrono::seconds(20);
+    while (clock_.Now() < until && !router.Ended()) {
+      if (router.Ready(milliseconds(200))) return true;
+    }
+    return false;
+  }
+
+  // The routers' part of the timeline: kills, restarts, samples, progress.
+  void Watch(Load& load, const std::atomic<bool>& done) {
+    struct Step {
+      Duration at{0};
+      std::function<void()> run;
+    };
+    std::vector<Step> steps;
+    for (std::size_t i = 0; i < out_.truth.scenario.faults.size(); ++i) {
+      const FaultPlan& f = out_.truth.scenario.faults[i];
+      if (f.kind != FaultKind::kKill) continue;
+      for (const int r : Victims(f, i)) {
+        steps.push_back({f.at, [this, r] {
+                           out_.truth.absences.push_back({r, clock_.Now(), Time::max()});
+                           routers_[static_cast<std::size_t>(r)]->Kill();
+                         }});
+        steps.push_back({f.at + f.length, [this, r] {
+                           Launch(*routers_[static_cast<std::size_t>(r)]);
+                           back_.push_back(r);
+                         }});
+      }
+    }
+    std::stable_sort(steps.begin(), steps.end(), [](const Step& a, const Step& b) { return a.at < b.at; });
+    std::size_t next = 0;
+    Duration sampled{-1000000000};
+    while (!done) {
+      if (options_.interrupted != nullptr && *options_.interrupted) {
+        out_.partial = true;
+        return;
+      }
+      for (; next < steps.size() && steps[next].at <= Since(); ++next) steps[next].run();
+      std::erase_if(back_, [this](int r) {
+        if (!routers_[static_cast<std::size_t>(r)]->Ready(milliseconds(5))) return false;
+        for (Absence& a : out_.truth.absences) {
+          if (a.router == r && a.until == Time::max()) a.until = clock_.Now();
+        }
+        return true;
+      });
+      if (Since() - sampled >= milliseconds(250)) {
+        sampled = Since();
+        Look();
+        if (options_.progress) options_.progress(Since(), load.sent(), load.served());
+      }
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+  }
+
+  std::vector<int> Victims(const FaultPlan& f, std::size_t number) {
+    std::vector<int> all;
+    for (int r = 0; r < world_.routers(); ++r) {
+      if (f.hall < 0 || r / out_.truth.scenario.routers.per_hall == f.hall) all.push_back(r);
+    }
+    Rng rng = MakeRng(Mix(out_.truth.scenario.seed * 131 + number), Stream::kFaults);
+    std::shuffle(all.begin(), all.end(), rng);
+    const auto wanted = f.count > 0
+                            ? static_cast<std::size_t>(f.count)
+                            : static_cast<std::size_t>(std::ceil(f.part * static_cast<double>(all.size())));
+    all.resize(std::min(all.size(), wanted));
+    return all;
+  }
+
+  void Look() {
+    for (std::size_t r = 0; r < routers_.size(); ++r) {
+      if (const auto code = routers_[r]->Ended()) {
+        out_.troubles.push_back("router " + std::to_string(r) +
+                                " ended by itself: " + std::to_string(*code));
+      } else if (const auto usage = routers_[r]->Look()) {
+        out_.samples.push_back({Since(), static_cast<int>(r), *usage});
+      }
+    }
+  }
+
+  void StopRouters() {
+    for (const auto& router : routers_) router->Terminate();
+    for (std::size_t r = 0; r < routers_.size(); ++r) {
+      const auto code = routers_[r]->Wait(std::chrono::seconds(15));
+      if (!code && routers_[r]->Look())
+        out_.troubles.push_back("router " + std::to_string(r) + " does not stop");
+      if (code && *code != 0) {
+        out_.troubles.push_back("router " + std::to_string(r) + " stopped with " + std::to_string(*code));
+      }
+      routers_[r]->Kill();
+      out_.router_cpu_s += routers_[r]->cpu_s();
+    }
+  }
+
+  void Weigh() {
+    const auto ms = [](Duration d) {
+      std::ostringstream text;
+      text << static_cast<double>(d.count() / 10000) / 100 << " ms";
+      return text.str();
+    };
+    const Truth& t = out_.truth;
+    if (t.load.late_p999 > t.scenario.load.late_limit) {
+      out_.void_because.push_back("the load ran " + ms(t.load.late_p999) +
+                                  " behind its schedule (99.9th percentile; " +
+                                  ms(t.scenario.load.late_limit) + " allowed)");
+    }
+    if (t.world.lag > kMostLag) {
+      out_.void_because.push_back("the emulator's loop ran " + ms(t.world.lag) + " late (" + ms(kMostLag) +
+                                  " allowed)");
+    }
+  }
+
+  const RunOptions& options_;
+  Clock clock_;
+  World world_;
+  Outcome out_;
+  std::vector<std::unique_ptr<RouterProcess>> routers_;
+  std::vector<int> back_;  // restarted, and not ready yet
+};
+
+}  // namespace
+
+Outcome RunOnce(const Scenario& scenario, const RunOptions& options) {
+  return Run(scenario, options).Play();
+}
+
+}  // namespace brasswood::lab
--- /dev/null
+++ b/lab/truth/judge.cpp
@@ -0,0 +1,244 @@
+#include "lab/truth/judge.h"
+
+#include <algorithm>
+#include <fstream>
+#include <map>
+#include <sstream>
+#include <unordered_map>
+
+namespace brasswood::lab {
+namespace {
+
+// What the platform's rules on sockets add to every limit on time.
+constexpr Duration kSocketSlack = std::chrono::milliseconds(50);
+
+std::string InMs(Duration d) {
+  std::ostringstream out;
+  out << static_cast<double>(d.count() / 10000) / 100 << " ms";
+  return out.str();
+}
+
+struct Request {
+  const TryRecord* sent = nullptr;
+  std::vector<const ClaimRecord*> claims;  // in the order in which they became whole
+};
+
+bool Served(TryEnd end) { return end == TryEnd::kValue || end == TryEnd::kReceipt; }
+
+// May the claim have had an effect, for all that its router could tell?
+bool MayHaveRun(const ClaimRecord& c) { return c.fate != Fate::kTurnedAway && c.fate != Fate::kMiss; }
+
+class Court {
+ public:
+  explicit Court(const Truth& truth)
+      : truth_(truth), slack_(kSocketSlack + truth.world.lag + truth.load.late_max) {
+    for (const TryRecord& t : truth.load.tries) requests_[t.id].sent = &t;
+    for (const ClaimRecord& c : truth.world.claims) requests_[c.request].claims.push_back(&c);
+  }
+
+  std::vector<Breach> Sit() {
+    for (const TryRecord& t : truth_.load.tries) JudgeAnswer(t, requests_[t.id]);
+    for (const auto& [id, r] : requests_) JudgeOnce(id, r);
+    JudgeDrains();
+    JudgePushes();
+    std::sort(breaches_.begin(), breaches_.end(), [](const Breach& a, const Breach& b) {
+      return std::pair(a.at, a.request) < std::pair(b.at, b.request);
+    });
+    return std::move(breaches_);
+  }
+
+ private:
+  void Add(Rule rule, RequestId id, int machine, Time at, std::string what) {
+    breaches_.push_back({rule, id, machine, at, std::move(what)});
+  }
+
+  // Was the try's router taken away while the try was out?
+  bool Excused(const TryRecord& t, Time until) const {
+    return std::any_of(truth_.absences.begin(), truth_.absences.end(), [&](const Absence& a) {
+      return a.router == t.router && t.sent <= a.until && until >= a.from;
+    });
+  }
+
+  void JudgeAnswer(const TryRecord& t, const Request& r) {
+    // Never taken, or cut off by the end of an interrupted run.
+    if (t.sent == Time(0) || t.ended == Time(0)) return;
+    const Time due = t.sent + t.wait + truth_.scenario.rules.answer_slack + slack_;
+    if (Excused(t, t.ended)) return;
+    switch (t.end) {
+      case TryEnd::kOpen:
+        return Add(Rule::kAnswer, t.id, -1, due, "no answer before its client gave up");
+      case TryEnd::kClosed:
+        // A connection may close between requests; what had not been sent on was not lost, as its client
+        // asks again. On its second connection, or with a claim out, it was.
+        if (t.resent || !t.pooled ||
+            std::any_of(r.claims.begin(), r.claims.end(),
+                        [&](const ClaimRecord* c) { return c->whole <= t.ended; })) {
+          Add(Rule::kAnswer, t.id, -1, t.ended, "the connection was closed instead of an answer");
+        }
+        return;
+      case TryEnd::kBad:
+        return Add(Rule::kAnswer, t.id, -1, t.ended, "an answer that cannot be read or is another's");
+      case TryEnd::kError:
+        return Add(Rule::kAnswer, t.id, -1, t.ended, "a sound command was answered as an error");
+      case TryEnd::kUnreachable:
+        return;
+      default:
+        break;
+    }
+    if (t.ended > due) {
+      Add(Rule::kAnswer, t.id, -1, t.ended,
+          "answered " + InMs(t.ended - t.sent) + " after it was sent; its client waits " + InMs(t.wait));
+    }
+    if (Served(t.end)) {
+      const bool made = std::any_of(r.claims.begin(), r.claims.end(), [&](const ClaimRecord* c) {
+        return c->serial == t.serial && (c->fate == Fate::kHit || c->fate == Fate::kServed);
+      });
+      if (!made) Add(Rule::kAnswer, t.id, -1, t.ended, "served with what no machine made for it");
+    }
+  }
+
+  void JudgeOnce(RequestId id, const Request& r) {
+    if (r.sent == nullptr) {
+      for (const ClaimRecord* c : r.claims) {
+        Add(Rule::kOnce, id, c->machine, c->whole, "a claim that no client asked for");
+      }
+      return;
+    }
+    const ClassPlan& plan = truth_.scenario.classes[truth_.load.intents[r.sent->intent].job_class];
+    if (r.claims.size() > static_cast<std::size_t>(truth_.scenario.rules.max_attempts)) {
+      Add(Rule::kOnce, id, r.claims.back()->machine, r.claims.back()->whole,
+          std::to_string(r.claims.size()) + " attempts");
+    }
+    Time first_run{0};
+    for (std::size_t i = 0; i < r.claims.size(); ++i) {
+      const ClaimRecord& c = *r.claims[i];
+      // What its client sent once more, on a connection that closed, is a repeat of the client's making.
+      const bool by_client = r.sent->resent && c.whole >= r.sent->sent;
+      if (by_client && i > 0 && r.claims[i - 1]->whole < r.sent->sent) first_run = Time(0);
+      for (std::size_t j = 0; j < i; ++j) {
+        const ClaimRecord& earlier = *r.claims[j];
+        if (by_client && earlier.whole < r.sent->sent) continue;
+        if (earlier.end == Time(0) || earlier.end > c.whole) {
+          Add(Rule::kOnce, id, c.machine, c.whole,
+              "a second attempt while the one at machine " + Name(earlier.machine) + " was out");
+        }
+      }
+      if (plan.repeats != Repeats::kFree && first_run != Time(0)) {
+        if (plan.repeats == Repeats::kNever) {
+          Add(Rule::kOnce, id, c.machine, c.whole, "a write that may have run went out again");
+        } else if (c.whole > first_run + plan.window + slack_) {
+          Add(Rule::kOnce, id, c.machine, c.whole, "a keyed write went out again after its window");
+        }
+      }
+      if (first_run == Time(0) && MayHaveRun(c)) first_run = c.whole;
+    }
+    if (plan.repeats == Repeats::kNever && first_run != Time(0) && r.sent->end == TryEnd::kBusy) {
+      Add(Rule::kOnce, id, -1, r.sent->ended, "refused as never run, though it may have run");
+    }
+  }
+
+  void JudgeDrains() {
+    std::map<std::pair<int, int>, Time> told;
+    for (const ToldRecord& t : truth_.world.told) told.emplace(std::pair(t.router, t.machine), t.at);
+    for (const ClaimRecord& c : truth_.world.claims) {
+      const auto it = told.find({c.router, c.machine});
+      if (it == told.end()) continue;
+      const Duration after = c.first - it->second;
+      if (after > truth_.scenario.rules.drain_grace + slack_) {
+        Add(Rule::kDrain, c.request, c.machine, c.first,
+            "sent to " + Name(c.machine) + " " + InMs(after) + " after its router was told that it goes");
+      }
+    }
+  }
+
+  void JudgePushes() {
+    double most = 0;
+    for (const ClassPlan& c : truth_.scenario.classes) most = std::max(most, c.work_ms / 1000);
+    const RulePlan& rules = truth_.scenario.rules;
+    std::vector<PushMeter> meters(truth_.world.machines.size(),
+                                  PushMeter(rules.fall_multiple, rules.fall, 4 * most));
+    std::vector<bool> pushed(meters.size());
+    for (const ClaimRecord& c : truth_.world.claims) {
+      const auto n = static_cast<std::size_t>(c.machine);
+      const MachineRecord& m = truth_.world.machines[n];
+      if (c.machine == kOrigin || pushed[n] || !m.capacity.Cold(c.whole)) continue;
+      const double full = meters[n].Add(c.whole, c.work_s, m.capacity.At(c.whole));
+      if (full <= 1) continue;
+      pushed[n] = true;
+      Add(Rule::kColdPush, c.request, c.machine, c.whole,
+          Name(c.machine) + ", " + InMs(c.whole - m.capacity.started) +
+              " after its start, was sent more than " + std::to_string(rules.fall_multiple).substr(0, 4) +
+              " times what it can do");
+    }
+    for (const Time fell : truth_.world.origin_fell) {
+      double all = 0, cold = 0;
+      for (const ClaimRecord& c : truth_.world.claims) {
+        if (c.machine != kOrigin || c.whole > fell || c.whole <= fell - truth_.scenario.origin.fall)
+          continue;
+        all += c.work_s;
+        cold += c.cold_miss ? c.work_s : 0;
+      }
+      if (cold > 0.3 * all) {
+        Add(Rule::kColdPush, 0, kOrigin, fell,
+            "the origin fell under load, much of it misses at cold nodes");
+      }
+    }
+  }
+
+  std::string Name(int machine) const {
+    return truth_.world.machines[static_cast<std::size_t>(machine)].uid;
+  }
+
+  const Truth& truth_;
+  Duration slack_;
+  std::unordered_map<RequestId, Request> requests_;
+  std::vector<Breach> breaches_;
+};
+
+}  // namespace
+
+std::vector<Breach> Judge(const Truth& truth) { return Court(truth).Sit(); }
+
+std::string Story(const Truth& truth, const Breach& breach) {
+  std::ostringstream out;
+  const auto at = [&](Time t) { return InMs(t - truth.start); };
+  out << "rule '" << kRuleNames[static_cast<std::size_t>(breach.rule)] << "' broken at " << at(breach.at)
+      << ": " << breach.what << "\n";
+  if (breach.request == 0) return out.str();
+  const std::string id = IdText(breach.request);
+  out << "request " << id << "\n";
+  Time from = breach.at, until = breach.at;
+  for (const TryRecord& t : truth.load.tries) {
+    if (t.id != breach.request) continue;
+    const Intent& intent = truth.load.intents[t.intent];
+    out << "  client: " << truth.scenario.classes[intent.job_class].name << ", meant for " << at(intent.at)
+        << ", try " << int{t.number} + 1 << ", sent " << at(t.sent) << " to router " << t.router
+        << " for at most " << InMs(t.wait) << (t.resent ? " (once more)" : "") << "; "
+        << kTryNames[static_cast<std::size_t>(t.end)] << " at " << at(t.ended) << "\n";
+    from = std::min(from, t.sent);
+    until = std::max(until, t.ended);
+  }
+  for (const ClaimRecord& c : truth.world.claims) {
+    if (c.request != breach.request) continue;
+    out << "  " << truth.world.machines[static_cast<std::size_t>(c.machine)].uid << ": from router "
+        << c.router << ", first byte " << at(c.first) << ", whole " << at(c.whole) << "; "
+        << kFateNames[static_cast<std::size_t>(c.fate)];
+    if (c.end != Time(0)) out << " at " << at(c.end);
+    out << (c.applied ? "; took effect" : "") << "\n";
+  }
+  for (std::size_t r = 0; r < truth.router_logs.size(); ++r) {
+    std::ifstream log(truth.router_logs[r]);
+    int lines = 0;
+    for (std::string line; std::getline(log, line) && lines < 20;) {
+      const double stamp = std::strtod(line.c_str(), nullptr) * 1e9;
+      const bool during = stamp >= static_cast<double>((from - std::chrono::milliseconds(200)).count()) &&
+                          stamp <= static_cast<double>((until + std::chrono::milliseconds(50)).count());
+      if (!during && line.find(id) == line.npos) continue;
+      out << "  router " << r << ": " << line << "\n";
+      ++lines;
+    }
+  }
+  return out.str();
+}
+
+}  // namespace brasswood::lab
--- /dev/null
+++ b/lab/world/execute_node.cpp
@@ -0,0 +1,90 @@
+#include "lab/world/execute_node.h"
+
+#include "lab/world/world.h"
+#include "protocol/meta.h"
+
+namespace brasswood::lab {
+namespace {
+
+constexpr double kMissShare = 0.05;  // of a read's work: to find that the key is not here
+constexpr double kMegabyte = 1 << 20;
+const Limits kLimits;
+
+}  // namespace
+
+ExecuteNode::ExecuteNode(World& world, int number, const NodePlan& plan)
+    : Machine(world, number, plan.cores, plan.speed, plan.waiting),
+      plan_(plan),
+      store_(plan.memory_mb * kMegabyte),
+      meter_(world.scenario().rules.fall_multiple, world.scenario().rules.fall, 0.2) {}
+
+void ExecuteNode::Restart() {
+  store_.Clear();
+  record().capacity.started = loop().Now();
+  record().gone = Time(0);
+  alive_ = true;
+  SetLinks(Link::kUp);
+}
+
+void ExecuteNode::Die() {
+  alive_ = false;
+  record().gone = loop().Now();
+  SetLinks(Link::kRefused);
+}
+
+void ExecuteNode::OnPeer(Peer& peer) {
+  peer.surplus = peers() > static_cast<std::size_t>(plan_.connections);
+}
+
+void ExecuteNode::OnBytes(Peer& peer) {
+  const std::uint64_t id = peer.id;
+  // Taking a command may end the connection, or this very peer's.
+  while (FindPeer(id) != nullptr) {
+    std::size_t used = 0;
+    Command command;
+    const Parsed got = ParseCommand(Gathered(peer.buffer.get()), kLimits, used, command);
+    if (got == Parsed::kMore) return;
+    if (got == Parsed::kBad) return Break(peer, false);
+    evbuffer_drain(bufferevent_get_input(peer.buffer.get()), used);
+    if (command.verb == Verb::kJob) {
+      Take(peer, command.content);
+    } else if (ailment().hang) {
+      continue;
+    } else if (command.verb == Verb::kNoop) {
+      Write(peer, leaving_ ? "SERVER_ERROR busy\r\n" : "MN\r\n");
+    } else {
+      Write(peer, "ERROR\r\n");
+    }
+  }
+}
+
+void ExecuteNode::Take(Peer& peer, const JobContent& job) {
+  const std::size_t job_class = world_.ClassOf(job.labels);
+  const RequestId id = ReadId(job.id);
+  const bool here = !job.write && store_.Use(job.key);
+  double work = WorkOf(world_.scenario(), job_class, id, world_.SinceStart()) * (here ? 1 : kMissShare);
+  if (std::exchange(peer.fresh, false)) work += plan_.handshake_ms / 1000;
+  const std::size_t n = Enter(peer, id, work, job.write);
+  if (ailment().hang) return;
+  MachineRecord& me = record();
+  const Time now = loop().Now();
+  if (me.capacity.Cold(now) && meter_.Add(now, work, me.capacity.At(now)) > 1) me.fell = true;
+  const bool refused = leaving_ || me.fell || peer.surplus;
+  if (refused || !Work(peer, n, work, here ? job.key : std::string())) {
+    Conclude(peer, n, Fate::kTurnedAway, "SERVER_ERROR busy\r\n");
+  }
+}
+
+void ExecuteNode::Worked(Peer& peer, const Claim& claim) {
+  const ClaimRecord& c = world_.truth().claims[claim.record];
+  const std::string id = IdText(c.request);
+  if (claim.key.empty()) {
+    world_.Missed(c.request, number());
+    return Conclude(peer, claim.record, Fate::kMiss, "EN O" + id + "\r\n");
+  }
+  const std::string value = MakeValue(c.request, c.serial, SizeOf(world_.scenario(), claim.key));
+  Conclude(peer, claim.record, Fate::kHit,
+           "VA " + std::to_string(value.size()) + " O" + id + "\r\n" + value + "\r\n");
+}
+
+}  // namespace brasswood::lab
--- /dev/null
+++ b/lab/world/execute_node.h
@@ -0,0 +1,37 @@
+// An execute node: keeps values by key, answers reads from them and everything else with a miss.
+#ifndef BRASSWOOD_LAB_WORLD_EXECUTE_NODE_H_
+#define BRASSWOOD_LAB_WORLD_EXECUTE_NODE_H_
+
+#include "core/ends.h"
+#include "lab/world/key_store.h"
+#include "lab/world/machine.h"
+
+namespace brasswood::lab {
+
+class ExecuteNode : public Machine {
+ public:
+  ExecuteNode(World& world, int number, const NodePlan& plan);
+  KeyStore& store() { return store_; }
+  const NodePlan& plan() const { return plan_; }
+  // Its process starts anew at the same addresses, cold and empty.
+  void Restart();
+  bool alive() const { return alive_; }
+  void Die();
+  // From now on it turns everything away.
+  void Retire() { leaving_ = true; }
+
+ private:
+  void OnPeer(Peer& peer) override;
+  void OnBytes(Peer& peer) override;
+  void Worked(Peer& peer, const Claim& claim) override;
+  void Take(Peer& peer, const JobContent& job);
+
+  NodePlan plan_;
+  KeyStore store_;
+  PushMeter meter_;
+  bool alive_ = true, leaving_ = false;
+};
+
+}  // namespace brasswood::lab
+
+#endif  // BRASSWOOD_LAB_WORLD_EXECUTE_NODE_H_
--- /dev/null
+++ b/lab/world/machine.cpp
@@ -0,0 +1,121 @@
+#include "lab/world/machine.h"
+
+#include "lab/world/world.h"
+
+namespace brasswood::lab {
+
+Machine::Machine(World& world, int number, int cores, double core_speed, int waiting)
+    : Server(world.loop(), number, world.routers()),
+      world_(world),
+      rng_(
+          MakeRng(Mix(world.scenario().seed * 4099 + static_cast<std::uint64_t>(number)), Stream::kFaults)),
+      number_(number),
+      core_speed_(core_speed),
+      station_(cores, waiting) {}
+
+MachineRecord& Machine::record() { return world_.truth().machines[static_cast<std::size_t>(number_)]; }
+
+std::size_t Machine::Enter(Peer& peer, RequestId id, double work_s, bool write) {
+  world_.ClaimBegun(id, *this, peer.id);
+  ClaimRecord c;
+  c.request = id;
+  c.machine = number_;
+  c.router = peer.router;
+  c.first = peer.first;
+  c.whole = loop().Now();
+  c.write = write;
+  c.work_s = static_cast<float>(work_s);
+  c.serial = world_.NextSerial();
+  world_.truth().claims.push_back(c);
+  const std::size_t n = world_.truth().claims.size() - 1;
+  peer.owed.push_back({n, false, {}});
+  if (ailment_.hang) world_.truth().claims[n].fate = Fate::kSwallowed;
+  return n;
+}
+
+bool Machine::Work(Peer& peer, std::size_t n, double work_s, std::string key) {
+  const Station::Token token = claims_.Add({peer.id, n, work_s, std::move(key), {}});
+  by_record_.emplace(n, token);
+  switch (station_.Take(token)) {
+    case Station::Took::kStarted:
+      Begin(token);
+      return true;
+    case Station::Took::kWaits:
+      return true;
+    case Station::Took::kFull:
+      break;
+  }
+  by_record_.erase(n);
+  claims_.Remove(token);
+  return false;
+}
+
+void Machine::Begin(Station::Token token) {
+  Claim& claim = *claims_.Find(token);
+  const Capacity& capacity = record().capacity;
+  const Time now = loop().Now();
+  const double speed = core_speed_ * ailment_.speed * capacity.At(now) / capacity.full;
+  const auto takes = Duration(static_cast<std::int64_t>(claim.work_s / std::max(speed, 1e-6) * 1e9));
+  // Shorter than a timer can tell.
+  if (takes < std::chrono::microseconds(20)) return Done(token);
+  claim.deadline = loop().deadlines().Set(now + takes, [this, token] { Done(token); });
+}
+
+void Machine::Done(Station::Token token) {
+  const Claim claim = *claims_.Find(token);
+  claims_.Remove(token);
+  by_record_.erase(claim.record);
+  if (const auto next = station_.End(token)) Begin(*next);
+  if (Peer* peer = FindPeer(claim.peer)) Worked(*peer, claim);
+}
+
+void Machine::Conclude(Peer& peer, std::size_t n, Fate fate, std::string text) {
+  ClaimRecord& c = world_.truth().claims[n];
+  if (c.fate == Fate::kSwallowed) return;
+  const double draw = Unit(rng_);
+  if (draw < ailment_.reset) {
+    c.fate = Fate::kReset;
+    c.end = loop().Now();
+    return Break(peer, true);
+  }
+  c.end = loop().Now();
+  if (draw < ailment_.reset + ailment_.half) {
+    c.fate = Fate::kSpoilt;
+    Answer(peer, n, text.substr(0, text.size() / 2));
+  } else if (draw < ailment_.reset + ailment_.half + ailment_.garbage) {
+    c.fate = Fate::kSpoilt;
+    Answer(peer, n, "\x01\x7f?? noise " + std::to_string(rng_()) + "\r\n");
+  } else {
+    c.fate = fate;
+    Answer(peer, n, std::move(text));
+  }
+}
+
+void Machine::OnGone(Peer& peer, bool reset) {
+  for (const Exchange& e : peer.owed) {
+    ClaimRecord& c = world_.truth().claims[e.claim];
+    if (c.end == Time(0)) c.end = loop().Now();
+    if (c.fate == Fate::kOpen) c.fate = reset ? Fate::kReset : Fate::kCut;
+    const auto it = by_record_.find(e.claim);
+    if (it == by_record_.end()) continue;
+    // Work stops when nobody waits for it any more.
+    const Station::Token token = it->second;
+    loop().deadlines().Drop(claims_.Find(token)->deadline);
+    claims_.Remove(token);
+    by_record_.erase(it);
+    if (const auto next = station_.End(token)) Begin(*next);
+  }
+}
+
+void Machine::NoticeClose(std::uint64_t id) {
+  Peer* peer = FindPeer(id);
+  if (peer != nullptr && ClosedByRouter(*peer)) Break(*peer, false);
+}
+
+std::string Machine::MakeValue(RequestId id, std::uint32_t serial, std::size_t size) const {
+  std::string value = IdText(id) + ":" + std::to_string(serial) + ":";
+  if (value.size() < size) value.append(size - value.size(), 'v');
+  return value;
+}
+
+}  // namespace brasswood::lab
--- /dev/null
+++ b/lab/world/origin.cpp
@@ -0,0 +1,92 @@
+#include "lab/world/origin.h"
+
+#include "lab/world/http_request.h"
+#include "lab/world/world.h"
+#include "protocol/labels.h"
+
+namespace brasswood::lab {
+
+Origin::Origin(World& world, const OriginPlan& plan)
+    : Machine(world, kOrigin, plan.cores, 1, plan.waiting),
+      plan_(plan),
+      meter_(plan.fall_multiple, plan.fall, 0) {}
+
+void Origin::Stop(Duration length) {
+  const Time until = loop().Now() + length;
+  if (until <= down_until_) return;
+  down_until_ = until;
+  SetLinks(Link::kRefused);
+  loop().deadlines().Set(until, [this, until] {
+    if (down_until_ == until) SetLinks(Link::kUp);
+  });
+}
+
+void Origin::OnBytes(Peer& peer) {
+  const std::uint64_t id = peer.id;
+  while (FindPeer(id) != nullptr) {
+    std::size_t used = 0;
+    HttpRequest request;
+    const Parsed got = ParseHttpRequest(Gathered(peer.buffer.get()), used, request);
+    if (got == Parsed::kMore) return;
+    if (got == Parsed::kBad) return Break(peer, false);
+    evbuffer_drain(bufferevent_get_input(peer.buffer.get()), used);
+    if (request.path.starts_with("/-/")) {  // a probe
+      if (!ailment().hang) Write(peer, HttpReply(200, "", ""));
+      continue;
+    }
+    const bool write = request.method == "PUT";
+    const RequestId job = ReadId(request.id);
+    Rng rng(Mix(job ^ world_.scenario().seed), static_cast<std::uint64_t>(Stream::kContents));
+    const double work =
+        LogNormal(rng, plan_.work_ms, plan_.work_cv) / 1000 * (write ? plan_.write_times : 1);
+    const std::size_t n = Enter(peer, job, work, write);
+    ClaimRecord& c = world_.truth().claims[n];
+    c.cold_miss = !write && world_.MissedCold(job);
+    Pending pending;
+    pending.key = request.path.substr(1);
+    pending.job_class = world_.ClassOf(request.labels);
+    EachLabel(request.labels, [&](std::string_view name, std::string_view value) {
+      if (name == "k") pending.write_key = value;
+    });
+    const Time now = loop().Now();
+    // Its capacity counts as one second of work a second on each core.
+    const bool falls = meter_.Add(now, work, plan_.cores) > 1;
+    const std::string key = pending.key;
+    pending_.emplace(n, std::move(pending));
+    if (!ailment().hang && !Work(peer, n, work, key)) {
+      pending_.erase(n);
+      Conclude(peer, n, Fate::kTurnedAway, HttpReply(503, "X-Turned-Away: 1\r\n", ""));
+    }
+    if (falls && down_until_ <= now) {
+      record().fell = true;
+      world_.truth().origin_fell.push_back(now);
+      return Stop(plan_.down);
+    }
+  }
+}
+
+void Origin::Worked(Peer& peer, const Claim& claim) {
+  ClaimRecord& c = world_.truth().claims[claim.record];
+  const Pending pending = std::move(pending_[claim.record]);
+  pending_.erase(claim.record);
+  if (!c.write) {
+    world_.Stored(c.request, pending.key);
+    const std::string value = MakeValue(c.request, c.serial, SizeOf(world_.scenario(), pending.key));
+    return Conclude(peer, claim.record, Fate::kServed, HttpReply(200, "", value));
+  }
+  const ClassPlan& plan = world_.scenario().classes[pending.job_class];
+  const Time now = loop().Now();
+  bool repeat = false;
+  if (plan.repeats == Repeats::kKeyed && !pending.write_key.empty()) {
+    const auto [it, fresh] = applied_keyed_.emplace(pending.write_key, now);
+    repeat = !fresh && now - it->second <= plan.window;
+    if (!repeat) it->second = now;
+  }
+  if (!repeat) {
+    c.applied = true;
+    world_.DropCopies(pending.key);
+  }
+  Conclude(peer, claim.record, Fate::kServed, HttpReply(200, "", "r" + std::to_string(c.serial)));
+}
+
+}  // namespace brasswood::lab
--- /dev/null
+++ b/lab/world/station.h
@@ -0,0 +1,55 @@
+// The cores of a machine and the room in which jobs wait for one, first come first served. Free of time and
+// I/O: its host says when a job begins and ends.
+#ifndef BRASSWOOD_LAB_WORLD_STATION_H_
+#define BRASSWOOD_LAB_WORLD_STATION_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <unordered_set>
+
+namespace brasswood::lab {
+
+class Station {
+ public:
+  using Token = std::uint64_t;
+  enum class Took { kStarted, kWaits, kFull };
+
+  Station(int cores, int waiting)
+      : cores_(static_cast<std::size_t>(cores)), room_(static_cast<std::size_t>(waiting)) {}
+
+  Took Take(Token token) {
+    if (running_.size() < cores_) {
+      running_.insert(token);
+      return Took::kStarted;
+    }
+    if (waiting_.size() >= room_) return Took::kFull;
+    waiting_.push_back(token);
+    return Took::kWaits;
+  }
+  // The job is done or called off. Returns the one that begins in its place, if any.
+  std::optional<Token> End(Token token) {
+    if (running_.erase(token) == 0) {
+      const auto it = std::find(waiting_.begin(), waiting_.end(), token);
+      if (it != waiting_.end()) waiting_.erase(it);
+      return std::nullopt;
+    }
+    if (waiting_.empty()) return std::nullopt;
+    const Token next = waiting_.front();
+    waiting_.pop_front();
+    running_.insert(next);
+    return next;
+  }
+  std::size_t running() const { return running_.size(); }
+  std::size_t waiting() const { return waiting_.size(); }
+
+ private:
+  std::size_t cores_, room_;
+  std::unordered_set<Token> running_;
+  std::deque<Token> waiting_;
+};
+
+}  // namespace brasswood::lab
+
+#endif  // BRASSWOOD_LAB_WORLD_STATION_H_
--- /dev/null
+++ b/lab/world/world.cpp
@@ -0,0 +1,272 @@
+#include "lab/world/world.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "lab/load/keys.h"
+#include "protocol/labels.h"
+
+namespace brasswood::lab {
+
+World::World(const Scenario& scenario)
+    : scenario_(scenario),
+      routers_(static_cast<int>(scenario.halls.size()) * scenario.routers.per_hall),
+      names_(MakeRng(scenario.seed, Stream::kNames)) {
+  MachineRecord origin;
+  origin.uid = "origin";
+  origin.kind = "origin";
+  origin.capacity.full = scenario.origin.cores;
+  truth_.machines.push_back(origin);
+  origin_ = std::make_unique<Origin>(*this, scenario.origin);
+  // Far behind the nodes' numbers: replacements are added while the run goes on.
+  discovery_ = std::make_unique<Discovery>(*this, 9000, routers_);
+  known_.resize(static_cast<std::size_t>(routers_));
+  discovery_->List(kOrigin, Listed::kInService);
+  for (const NodePlan& plan : scenario.nodes) {
+    for (int i = 0; i < plan.count; ++i) discovery_->List(Add(plan, Time(0)), Listed::kInService);
+  }
+  WarmUp();
+  Publish();
+}
+
+World::~World() = default;
+
+int World::Add(const NodePlan& plan, Time started) {
+  const int number = static_cast<int>(truth_.machines.size());
+  MachineRecord m;
+  char uid[16];
+  std::snprintf(uid, sizeof uid, "s-%08x", names_());
+  m.uid = uid;
+  m.kind = plan.kind;
+  m.hall = plan.hall;
+  m.capacity = {plan.cores * plan.speed, plan.cold_from, started, plan.ramp};
+  truth_.machines.push_back(m);
+  nodes_.push_back(std::make_unique<ExecuteNode>(*this, number, plan));
+  in_service_.push_back(true);
+  return number;
+}
+
+// Nodes that run when the load begins hold what is asked for most, as far as it fits.
+void World::WarmUp() {
+  for (auto& node : nodes_) {
+    const double most = node->plan().memory_mb * (1 << 20);
+    double held = 0;
+    std::vector<std::string> keys;
+    for (int rank = 0; rank < scenario_.load.keys; ++rank) {
+      keys.push_back(KeyName(rank));
+      held += static_cast<double>(SizeOf(scenario_, keys.back()));
+      if (held > most) break;
+    }
+    std::for_each(keys.rbegin(), keys.rend(), [&](const std::string& key) {
+      node->store().Put(key, static_cast<double>(SizeOf(scenario_, key)));
+    });
+  }
+}
+
+std::vector<std::string> World::NodeEndpoints(int router) const {
+  std::vector<std::string> all;
+  for (const auto& node : nodes_) all.push_back(node->endpoint(router));
+  return all;
+}
+
+const std::string& World::EndpointOf(int machine, int router) const {
+  if (machine == kOrigin) return origin_->endpoint(router);
+  return nodes_[static_cast<std::size_t>(machine) - 1]->endpoint(router);
+}
+
+std::size_t World::ClassOf(std::string_view labels) const {
+  std::size_t found = 0;
+  EachLabel(labels, [&](std::string_view name, std::string_view value) {
+    for (std::size_t i = 0; name == "c" && i < scenario_.classes.size(); ++i) {
+      if (scenario_.classes[i].name == value) found = i;
+    }
+  });
+  return found;
+}
+
+void World::ClaimBegun(RequestId id, Machine& machine, std::uint64_t peer) {
+  Out& last = last_claim_[id];
+  if (last.machine != nullptr && last.peer != peer) last.machine->NoticeClose(last.peer);
+  last = {&machine, peer};
+}
+
+bool World::MissedCold(RequestId id) {
+  const auto it = missed_.find(id);
+  if (it == missed_.end()) return false;
+  return std::any_of(it->second.begin(), it->second.end(), [&](int node) {
+    return truth_.machines[static_cast<std::size_t>(node)].capacity.Cold(loop_.Now());
+  });
+}
+
+void World::Stored(RequestId id, const std::string& key) {
+  const auto it = missed_.find(id);
+  if (it == missed_.end()) return;
+  const double size = static_cast<double>(SizeOf(scenario_, key));
+  for (std::size_t i = 0; i < it->second.size() && i < 2; ++i) {
+    ExecuteNode& node = *nodes_[static_cast<std::size_t>(it->second[i]) - 1];
+    if (node.alive()) node.store().Put(key, size);
+  }
+  missed_.erase(it);
+}
+
+void World::DropCopies(const std::string& key) {
+  for (auto& node : nodes_) node->store().Drop(key);
+}
+
+// ---- Faults ----
+
+void World::At(Duration from_start, std::function<void()> run) {
+  loop_.deadlines().Set(start_ + from_start, std::move(run));
+}
+
+std::vector<ExecuteNode*> World::Pick(const FaultPlan& fault, std::size_t number) {
+  std::vector<ExecuteNode*> all;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    const bool hall = fault.hall < 0 || nodes_[i]->plan().hall == fault.hall;
+    if (in_service_[i] && nodes_[i]->alive() && hall) all.push_back(nodes_[i].get());
+  }
+  Rng rng = MakeRng(Mix(scenario_.seed * 131 + number), Stream::kFaults);
+  std::shuffle(all.begin(), all.end(), rng);
+  const auto wanted =
+      fault.count > 0 ? static_cast<std::size_t>(fault.count)
+                      : static_cast<std::size_t>(std::ceil(fault.part * static_cast<double>(all.size())));
+  all.resize(std::min(all.size(), wanted));
+  return all;
+}
+
+void World::ListLater(int machine, Listed state) {
+  loop_.deadlines().Set(loop_.Now() + scenario_.discovery.late, [this, machine, state] {
+    discovery_->List(machine, state);
+    Publish();
+  });
+}
+
+void World::Leave(ExecuteNode& node, Duration drain) {
+  in_service_[static_cast<std::size_t>(node.number()) - 1] = false;
+  ListLater(node.number(), Listed::kTerminating);
+  loop_.deadlines().Set(loop_.Now() + drain, [this, &node] {
+    node.Die();
+    ListLater(node.number(), Listed::kTerminated);
+  });
+}
+
+void World::Replace(const FaultPlan& fault, std::size_t number) {
+  const std::vector<ExecuteNode*> going = Pick(fault, number);
+  const auto at_once =
+      std::max<std::size_t>(1, static_cast<std::size_t>(fault.batch * static_cast<double>(nodes_.size())));
+  const std::size_t batches = (going.size() + at_once - 1) / at_once;
+  for (std::size_t b = 0; b < batches; ++b) {
+    const std::vector<ExecuteNode*> batch(
+        going.begin() + static_cast<std::ptrdiff_t>(b * at_once),
+        going.begin() + static_cast<std::ptrdiff_t>(std::min(going.size(), (b + 1) * at_once)));
+    const Duration step = fault.length / static_cast<std::int64_t>(std::max<std::size_t>(1, batches));
+    At(fault.at + step * static_cast<std::int64_t>(b), [this, batch, drain = fault.drain] {
+      for (ExecuteNode* old : batch) {
+        ListLater(Add(old->plan(), loop_.Now()), Listed::kInService);
+        Leave(*old, drain);
+      }
+    });
+  }
+}
+
+// The faults of the load (hot keys, bursts, floods) and of the routers are played elsewhere.
+void World::Schedule(const FaultPlan& fault, std::size_t number) {
+  if (fault.kind == FaultKind::kReplace) {
+    At(fault.at, [this, &fault, number] { Replace(fault, number); });
+  } else {
+    At(fault.at, [this, &fault, number] { Apply(fault, number); });
+  }
+}
+
+void World::Apply(const FaultPlan& fault, std::size_t number) {
+  const auto later = [&](std::function<void()> run) { At(fault.at + fault.length, std::move(run)); };
+  const auto ail = [&](auto set, auto unset) {
+    std::vector<Machine*> hit;
+    if (fault.origin) {
+      hit.push_back(origin_.get());
+    } else {
+      for (ExecuteNode* node : Pick(fault, number)) hit.push_back(node);
+    }
+    for (Machine* m : hit) set(m->ailment());
+    later([hit, unset] {
+      for (Machine* m : hit) unset(m->ailment());
+    });
+  };
+  switch (fault.kind) {
+    case FaultKind::kHang:
+      return ail([](Ailment& a) { a.hang = true; }, [](Ailment& a) { a.hang = false; });
+    case FaultKind::kSlow:
+      return ail([&](Ailment& a) { a.speed = fault.size; }, [](Ailment& a) { a.speed = 1; });
+    case FaultKind::kReset:
+      return ail([&](Ailment& a) { a.reset = fault.share; }, [](Ailment& a) { a.reset = 0; });
+    case FaultKind::kHalf:
+      return ail([&](Ailment& a) { a.half = fault.share; }, [](Ailment& a) { a.half = 0; });
+    case FaultKind::kGarbage:
+      return ail([&](Ailment& a) { a.garbage = fault.share; }, [](Ailment& a) { a.garbage = 0; });
+    case FaultKind::kRefuse: {
+      const std::vector<ExecuteNode*> hit = Pick(fault, number);
+      for (ExecuteNode* node : hit) node->Die();
+      return later([this, hit] {
+        for (ExecuteNode* node : hit) {
+          node->Restart();
+          ListLater(node->number(), Listed::kInService);
+        }
+      });
+    }
+    case FaultKind::kHallCut:
+    case FaultKind::kSilent: {
+      FaultPlan all = fault;
+      if (fault.kind == FaultKind::kHallCut) all.part = 1;
+      const std::vector<ExecuteNode*> hit = Pick(all, number);
+      for (ExecuteNode* node : hit) node->SetLinks(Link::kSilent);
+      return later([hit] {
+        for (ExecuteNode* node : hit) {
+          if (node->alive()) node->SetLinks(Link::kUp);
+        }
+      });
+    }
+    case FaultKind::kDrain:
+      for (ExecuteNode* node : Pick(fault, number)) Leave(*node, fault.length);
+      return;
+    case FaultKind::kDiscovery:
+      discovery_->SetLinks(Link::kRefused);
+      return later([this] { discovery_->SetLinks(Link::kUp); });
+    case FaultKind::kOriginStop:
+      return origin_->Stop(fault.length);
+    default:
+      return;
+  }
+}
+
+void World::Publish() {
+  const std::lock_guard lock(known_lock_);
+  for (int r = 0; r < routers_; ++r) known_[static_cast<std::size_t>(r)] = discovery_->Whole(r);
+}
+
+std::string World::Known(int router) {
+  const std::lock_guard lock(known_lock_);
+  return known_[static_cast<std::size_t>(router)];
+}
+
+void World::Tick() {
+  if (stop_) return loop_.Stop();
+  if (start_ == Time(0) && asked_start_ != 0) {
+    start_ = Time(asked_start_);
+    for (std::size_t i = 0; i < scenario_.faults.size(); ++i) Schedule(scenario_.faults[i], i);
+    lag_.Start(loop_);
+  }
+  loop_.deadlines().Set(loop_.Now() + std::chrono::milliseconds(20), [this] { Tick(); });
+}
+
+void World::Run() {
+  Tick();
+  loop_.Run();
+  lag_.Stop();
+  truth_.lag = lag_.most();
+  truth_.late = lag_.late();
+  truth_.cpu = ThreadCpu();
+}
+
+WorldTruth World::TakeTruth() { return std::move(truth_); }
+
+}  // namespace brasswood::lab
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -5,7 +5,19 @@
 
 namespace brasswood {
 
-Loop::Loop() : base_(event_base_new()) {
+namespace {
+
+event_base* MakeBase(bool precise) {
+  event_config* config = event_config_new();
+  if (precise) event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  event_base* base = event_base_new_with_config(config);
+  event_config_free(config);
+  return base;
+}
+
+}  // namespace
+
+Loop::Loop(bool precise) : base_(MakeBase(precise)) {
   if (!base_) throw std::runtime_error("cannot make an event loop");
   timer_.reset(event_new(
       base_.get(), -1, 0,
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -38,7 +38,9 @@
 
 class Loop {
  public:
-  Loop();
+  // Timers are true to a millisecond; `precise` ones to some ten microseconds, at one more system call a
+  // turn.
+  explicit Loop(bool precise = false);
   event_base* base() { return base_.get(); }
   Deadlines& deadlines() { return deadlines_; }
   Time Now() const { return clock_.Now(); }
--- a/src/protocol/meta.cpp
+++ b/src/protocol/meta.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <chrono>
 
+#include "protocol/labels.h"
+
 namespace brasswood {
 namespace {
 
@@ -36,18 +38,6 @@
   return it == names.end() ? -1 : static_cast<int>(it - names.begin());
 }
 
-// Calls `each(name, value)` for the names and values of "a=1,b=2".
-template <class F>
-void EachLabel(std::string_view labels, F each) {
-  while (!labels.empty()) {
-    const std::size_t comma = labels.find(',');
-    const std::string_view label = labels.substr(0, comma);
-    const std::size_t equals = label.find('=');
-    each(label.substr(0, equals), equals == label.npos ? std::string_view() : label.substr(equals + 1));
-    labels.remove_prefix(comma == labels.npos ? labels.size() : comma + 1);
-  }
-}
-
 // The flags of a job's command: O and P are used, the others passed over. One that comes twice must say the
 // same twice: which of two ids or label lists its submitter means, nobody can tell.
 void TakeFlags(std::string_view rest, Command& c) {
--- /dev/null
+++ b/tests/lab/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/lab/parts_test.cpp
@@ -0,0 +1,247 @@
+// The laboratory's parts that need no socket.
+#include <catch2/catch.hpp>
+#include <filesystem>
+
+#include "lab/base/histogram.h"
+#include "lab/base/plan.h"
+#include "lab/base/toml_reader.h"
+#include "lab/load/answer.h"
+#include "lab/load/schedule.h"
+#include "lab/report/compare.h"
+#include "lab/world/http_request.h"
+#include "lab/world/key_store.h"
+#include "lab/world/station.h"
+
+using namespace brasswood;
+using namespace brasswood::lab;
+
+namespace {
+
+const std::string kLeast = "length_s = 20\nwarm_up_s = 1\n[[class]]\nname = 'read'\n[[nodes]]\n";
+
+std::string Wrong(const std::string& text, const Overrides& overrides = {}) {
+  try {
+    ReadScenario(text, "s.toml", overrides);
+  } catch (const BadScenario& e) {
+    return e.what();
+  }
+  return {};
+}
+
+std::vector<Arrival> All(const Scenario& s) {
+  std::vector<Arrival> all;
+  Schedule schedule(s);
+  while (const auto a = schedule.Next()) all.push_back(*a);
+  return all;
+}
+
+}  // namespace
+
+TEST_CASE("what is wrong with a scenario is told with its line, all at once") {
+  CHECK(Wrong(kLeast).empty());
+  const std::pair<std::string, std::string> cases[] = {
+      {"lenght_s = 3\n" + kLeast, "s.toml:1:12: lenght_s: is not known here; did you mean 'length_s'?"},
+      {"seed = 'x'\n" + kLeast, "s.toml:1:8: seed: must be a whole number"},
+      {"length_s = 99999\n[[class]]\n[[nodes]]\n", "s.toml:1:12: length_s: must lie between 0.5 and 3600"},
+      {kLeast + "[load]\nrate = 'fast'\n", "s.toml:7:8: load.rate: must be a number"},
+      {kLeast + "[load]\npool = 'none'\n", "load.pool: is 'none' and must be one of keep, drop, hoard"},
+      {kLeast + "[load]\nhall_share = [1, 2]\n", "load.hall_share: must have one entry for each hall"},
+      {kLeast + "[[fault]]\nat_s = 1\n", "fault[0].kind: is missing"},
+      {kLeast + "[[fault]]\nkind = 'hang'\nat_s = 1\n", "fault[0].part: is missing"},
+      {kLeast + "[[fault]]\nkind = 'hang'\ncount = 1\npart = 0.5\n", "fault[0].count: contradicts part"},
+      {kLeast + "[[fault]]\nkind = 'origin_stop'\nat_s = 21\n",
+       "s.toml:8:8: fault[0].at_s: lies behind the end"},
+      {kLeast + "[[fault]]\nkind = 'hall_cut'\nhall = 'x'\n", "fault[0].hall: 'x' is not among the halls"},
+      {"warm_up_s = 5\nlength_s = 5\n[[class]]\n[[nodes]]\n", "warm_up_s: is not less than length_s"},
+      {"length_s = 20\n[[nodes]]\n", "class: is missing"},
+      {"[[class]]\nrepeats = 'never'\n[[nodes]]\n",
+       "class[0].repeats: only a write may be other than free"},
+      {"class = 3\n[[nodes]]\n", "class: must be an array of tables, written [[class]]"},
+      {"length_s = \n", "s.toml:1:12:"},
+  };
+  for (const auto& [text, said] : cases) {
+    INFO(text);
+    CHECK_THAT(Wrong(text), Catch::Contains(said));
+  }
+  const std::string two = Wrong("seed = 'x'\nlenght_s = 1\n" + kLeast);
+  CHECK(std::count(two.begin(), two.end(), '\n') == 1);
+}
+
+TEST_CASE("a study's changes go before the file and are checked like it") {
+  const Scenario s = ReadScenario(kLeast, "s.toml", {"load.rate=7.5", "nodes.0.cores=9", "origin.cores=3"});
+  CHECK(s.load.rate == 7.5);
+  CHECK(s.nodes[0].cores == 9);
+  CHECK(s.origin.cores == 3);
+  CHECK_THAT(Wrong(kLeast, {"load.rat=7"}),
+             Catch::Contains("load.rat: is not known here; did you mean 'rate'?"));
+  CHECK_THAT(Wrong(kLeast, {"load.rate"}), Catch::Contains("not of the form key=value"));
+  CHECK_THAT(Wrong(kLeast, {"nodes.4.cores=1"}), Catch::Contains("there are not so many"));
+}
+
+TEST_CASE("every scenario that is shipped is sound") {
+  int n = 0;
+  for (const auto& file : std::filesystem::directory_iterator(BRASSWOOD_SOURCE "/lab/scenarios")) {
+    INFO(file.path());
+    CHECK_NOTHROW(LoadScenario(file.path()));
+    ++n;
+  }
+  CHECK(n >= 10);
+}
+
+TEST_CASE("one seed is one schedule, another seed another") {
+  const auto read = [](const std::string& seed) {
+    return All(ReadScenario("seed = " + seed + "\n" + kLeast + "[load]\nrate = 400\nkeys = 100\n", "s"));
+  };
+  const auto a = read("5"), b = read("5"), c = read("6");
+  REQUIRE(a.size() == b.size());
+  bool same = true;
+  for (std::size_t i = 0; i < a.size(); ++i)
+    same &= a[i].at == b[i].at && a[i].id == b[i].id && a[i].key == b[i].key;
+  CHECK(same);
+  CHECK(a[0].at != c[0].at);
+  CHECK(a.size() > 7000);  // 8000 are meant
+  CHECK(a.size() < 9000);
+}
+
+TEST_CASE("bursts, hot keys and steady arrivals are in the schedule") {
+  const Scenario s =
+      ReadScenario(kLeast +
+                       "[load]\nrate = 100\narrivals = 'steady'\nkeys = 1000\n"
+                       "[[fault]]\nkind = 'burst'\nat_s = 4\nfor_s = 2\nsize = 3\n"
+                       "[[fault]]\nkind = 'hot_key'\nat_s = 10\nfor_s = 5\nshare = 0.5\nsize = 1\n",
+                   "s");
+  int in_burst = 0, before = 0, hot = 0, hot_before = 0;
+  for (const Arrival& a : All(s)) {
+    before += a.at < std::chrono::seconds(2);
+    in_burst += a.at >= std::chrono::seconds(4) && a.at < std::chrono::seconds(6);
+    hot += a.key == 500 && a.at >= std::chrono::seconds(10) && a.at < std::chrono::seconds(15);
+    hot_before += a.key == 500 && a.at < std::chrono::seconds(10);
+  }
+  CHECK(std::abs(before - 200) <= 1);
+  CHECK(std::abs(in_burst - 600) <= 2);
+  CHECK(hot > 200);  // of 500, half
+  CHECK(hot_before < 20);
+}
+
+TEST_CASE("a client reads answers strictly") {
+  const RequestId id = 0xabc;
+  const std::string o = " O" + IdText(id), mark = IdText(id) + ":7:vv";
+  const std::string value = "VA " + std::to_string(mark.size()) + o + "\r\n" + mark + "\r\n";
+  struct Case {
+    std::string text;
+    Parsed parsed;
+    TryEnd end;
+  };
+  const Case cases[] = {
+      {value, Parsed::kDone, TryEnd::kValue},
+      {value + "x", Parsed::kDone, TryEnd::kValue},
+      {"HD" + o + " cr7\r\n", Parsed::kDone, TryEnd::kReceipt},
+      {"SERVER_ERROR busy 250\r\n", Parsed::kDone, TryEnd::kBusy},
+      {"SERVER_ERROR failed\r\n", Parsed::kDone, TryEnd::kFailed},
+      {"CLIENT_ERROR no id\r\n", Parsed::kDone, TryEnd::kError},
+      {"HD" + o + "\r\n", Parsed::kBad, TryEnd::kBad},
+      {"HD O0000000000000abd cr7\r\n", Parsed::kBad, TryEnd::kBad},
+      {"VA 3" + o + "\r\nabc\r\n", Parsed::kBad, TryEnd::kBad},
+      {"VA 70000" + o + "\r\n", Parsed::kBad, TryEnd::kBad},
+      {"EN\r\n", Parsed::kBad, TryEnd::kBad},
+      {std::string(5000, 'x'), Parsed::kBad, TryEnd::kBad},
+  };
+  for (const Case& c : cases) {
+    INFO(c.text);
+    std::size_t used = 0;
+    ClientAnswer answer;
+    CHECK(ParseClientAnswer(c.text, id, used, answer) == c.parsed);
+    CHECK(answer.end == c.end);
+  }
+  std::size_t used = 0;
+  ClientAnswer answer;
+  for (std::size_t n = 0; n < value.size(); ++n) {  // at every byte
+    CHECK(ParseClientAnswer(std::string_view(value).substr(0, n), id, used, answer) == Parsed::kMore);
+  }
+  CHECK(ParseClientAnswer(value, id, used, answer) == Parsed::kDone);
+  CHECK(answer.serial == 7);
+}
+
+TEST_CASE("the emulator reads HTTP requests at every split") {
+  const std::string text =
+      "PUT /a%2Fb?x=1&wait=20 HTTP/1.1\r\nHost: h\r\nx-txn: 12\r\nContent-Length: 3\r\n\r\nabc";
+  HttpRequest r;
+  std::size_t used = 0;
+  for (std::size_t n = 0; n < text.size(); ++n) {
+    CHECK(ParseHttpRequest(std::string_view(text).substr(0, n), used, r) == Parsed::kMore);
+  }
+  REQUIRE(ParseHttpRequest(text + "GET", used, r) == Parsed::kDone);
+  CHECK(used == text.size());
+  CHECK(r.method == "PUT");
+  CHECK(r.path == "/a/b");
+  CHECK(r.id == "12");
+  CHECK(QueryNumber(r.query, "wait", 0) == 20);
+  CHECK(QueryNumber(r.query, "none", 5) == 5);
+  for (const char* bad :
+       {"GET x HTTP/1.1\r\n\r\n", "GET / HTTP/1.0\r\n\r\n", "GET / HTTP/1.1\r\nnocolon\r\n\r\n"}) {
+    CHECK(ParseHttpRequest(bad, used, r) == Parsed::kBad);
+  }
+}
+
+TEST_CASE("a key store drops what was used longest ago") {
+  KeyStore store(30);
+  store.Put("a", 10);
+  store.Put("b", 10);
+  store.Put("c", 10);
+  CHECK(store.Use("a"));
+  store.Put("d", 10);
+  CHECK_FALSE(store.Use("b"));
+  CHECK(store.Use("a"));
+  store.Put("a", 25);  // again, larger: the others go
+  CHECK(store.size() == 1);
+  CHECK(store.bytes() == 25);
+  store.Put("huge", 31);
+  CHECK(store.size() == 0);
+}
+
+TEST_CASE("a station works, lets wait and turns away, and what is called off makes room") {
+  Station s(1, 1);
+  CHECK(s.Take(1) == Station::Took::kStarted);
+  CHECK(s.Take(2) == Station::Took::kWaits);
+  CHECK(s.Take(3) == Station::Took::kFull);
+  CHECK_FALSE(s.End(2));  // it was only waiting
+  CHECK(s.Take(4) == Station::Took::kWaits);
+  CHECK(s.End(1) == std::optional<Station::Token>(4));
+  CHECK_FALSE(s.End(4));
+  CHECK(s.running() == 0);
+}
+
+TEST_CASE("percentiles come with their count and stay within a bin of the truth") {
+  LatencyHistogram h;
+  CHECK(h.Percentile(0.99) == 0);
+  for (int i = 1; i <= 1000; ++i) h.Add(std::chrono::milliseconds(i));
+  CHECK(h.count() == 1000);
+  CHECK(h.Percentile(0.5) == Approx(500).epsilon(0.02));
+  CHECK(h.Percentile(0.999) == Approx(999).epsilon(0.02));
+  h.Add(std::chrono::seconds(1000));  // beyond the last bin
+  CHECK(h.Percentile(1.0) >= 1e5);
+}
+
+TEST_CASE("a comparison says so where there is no difference, and which side is better where there is") {
+  Rng rng(3);
+  std::vector<double> a, same, better;
+  for (int i = 0; i < 12; ++i) {
+    a.push_back(100 + 10 * Unit(rng));
+    same.push_back(a.back() + (Unit(rng) - 0.5));
+    better.push_back(a.back() - 5 + Unit(rng));
+  }
+  using Says = Comparison::Says;
+  CHECK(Compare("x", "", false, a, same, 1).says == Says::kNothing);
+  CHECK(Compare("x", "", false, a, better, 1).says == Says::kBetter);
+  CHECK(Compare("x", "", true, a, better, 1).says == Says::kWorse);
+  CHECK(Compare("x", "", true, {1, 2}, {8, 9}, 1).says == Says::kNothing);  // too few to tell
+  const Interval one = MedianInterval(a, 4), two = MedianInterval(a, 4);
+  CHECK(one.low == two.low);
+  CHECK(Median({3, 1, 2, 10}) == 2.5);
+}
+
+TEST_CASE("the nearest name is a matter of edits") {
+  CHECK(EditDistance("", "abc") == 3);
+  CHECK(EditDistance("length", "lenght") == 2);
+  CHECK(EditDistance("same", "same") == 0);
+}
--- /dev/null
+++ b/tests/lab/run_test.cpp
@@ -0,0 +1,187 @@
+// Whole runs of a few seconds: routers that break each rule are caught, the real one is not, and a run that
+// the laboratory cannot keep up with is void. Deadlines are long and limits on time grow with the
+// laboratory's own lag, so that no verdict hangs on the speed of the machine.
+#include <stdlib.h>
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+
+#include "lab/report/write.h"
+
+using namespace brasswood;
+using namespace brasswood::lab;
+
+namespace {
+
+struct Folder {
+  std::string path;
+  Folder() {
+    char name[] = "/tmp/brasswood-lab-test-XXXXXX";
+    path = ::mkdtemp(name);
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+};
+
+std::string Site(const std::string& more) {
+  return R"(
+length_s = 3
+warm_up_s = 0.5
+[[class]]
+name = "read"
+share = 0.8
+work_ms = 4
+work_cv = 0
+aim_ms = 2000
+give_up_ms = 3000
+[[class]]
+name = "publish"
+share = 0.2
+work_ms = 4
+aim_ms = 2000
+give_up_ms = 3000
+write = true
+repeats = "never"
+[[nodes]]
+count = 3
+cores = 2
+ramp_ms = 8000
+[origin]
+cores = 8
+work_ms = 10
+fall_multiple = 0
+[discovery]
+late_ms = 50
+[load]
+rate = 60
+keys = 30
+clients = 6
+retries = 0
+late_limit_ms = 60000
+[rules]
+ramp_ms = 8000
+)" + more;
+}
+
+Outcome Play(const std::string& scenario, std::vector<std::string> router, const std::string& folder,
+             const Overrides& overrides = {}) {
+  RunOptions options;
+  options.router = std::move(router);
+  options.folder = folder;
+  return RunOnce(ReadScenario(scenario, "test", overrides), options);
+}
+
+}  // namespace
+
+TEST_CASE("routers that break a rule are caught, by that rule") {
+  struct Row {
+    const char* fault;
+    const char* more;
+    Rule rule;
+    Overrides overrides;
+  };
+  const char* drain = "[[fault]]\nkind = 'drain'\ncount = 1\nat_s = 0.3\nfor_s = 9\n";
+  // Three cold successors at once; of all that goes to the last of them, each command costs 30 ms at least.
+  const char* replace =
+      "[[fault]]\nkind = 'replace'\ncount = 3\nbatch = 1.0\nat_s = 0.2\nfor_s = 0.2\ndrain_ms = 9000\n";
+  const Row rows[] = {
+      {"double-write", "", Rule::kOnce, {}},
+      {"two-at-once", "", Rule::kOnce, {}},
+      {"refused-run", "", Rule::kOnce, {}},
+      {"lost-answer", "", Rule::kAnswer, {}},
+      {"late-answer", "", Rule::kAnswer, {}},
+      {"foreign-value", "", Rule::kAnswer, {}},
+      {"late-drain", drain, Rule::kDrain, {}},
+      {"cold-push",
+       replace,
+       Rule::kColdPush,
+       {"nodes.0.handshake_ms=30", "nodes.0.cores=1", "load.rate=120"}},
+  };
+  for (const Row& row : rows) {
+    DYNAMIC_SECTION(row.fault) {
+      Folder folder;
+      const Outcome outcome =
+          Play(Site(row.more), {BRASSWOOD_FAULTY, row.fault}, folder.path, row.overrides);
+      REQUIRE(outcome.troubles.empty());
+      const auto found = std::count_if(outcome.breaches.begin(), outcome.breaches.end(),
+                                       [&](const Breach& b) { return b.rule == row.rule; });
+      CHECK(found > 0);
+      // A machine that is pushed over also answers late; the others break just their one rule.
+      if (row.rule != Rule::kColdPush) CHECK(found == static_cast<long>(outcome.breaches.size()));
+      CHECK(Decide(outcome, Measure(outcome)) == Verdict::kFailed);
+    }
+  }
+}
+
+TEST_CASE("a plain router that breaks none is not accused") {
+  Folder folder;
+  const Outcome outcome = Play(Site("[[fault]]\nkind = 'drain'\ncount = 1\nat_s = 0.3\nfor_s = 9\n"),
+                               {BRASSWOOD_FAULTY, "honest"}, folder.path);
+  CHECK(outcome.troubles.empty());
+  for (const Breach& b : outcome.breaches) FAIL_CHECK(Story(outcome.truth, b));
+  CHECK(Measure(outcome).all.endings[0] > 100);
+}
+
+TEST_CASE("the router keeps the rules through every trouble that the laboratory knows") {
+  const std::pair<const char*, const char*> rows[] = {
+      {"nodes",
+       "[[fault]]\nkind = 'hang'\ncount = 1\nat_s = 0.3\nfor_s = 0.6\n"
+       "[[fault]]\nkind = 'silent'\ncount = 1\nat_s = 1.0\nfor_s = 0.6\n"
+       "[[fault]]\nkind = 'refuse'\ncount = 1\nat_s = 1.7\nfor_s = 0.5\n"},
+      {"answers",
+       "[[fault]]\nkind = 'reset'\ncount = 3\nshare = 0.3\nat_s = 0.3\nfor_s = 0.6\n"
+       "[[fault]]\nkind = 'half'\ncount = 3\nshare = 0.3\nat_s = 1.1\nfor_s = 0.6\n"
+       "[[fault]]\nkind = 'garbage'\ncount = 3\nshare = 0.3\nat_s = 1.9\nfor_s = 0.6\n"},
+      {"membership",
+       "[[fault]]\nkind = 'replace'\npart = 1.0\nbatch = 0.34\nat_s = 0.3\nfor_s = 1.5\ndrain_ms = 400\n"
+       "[[fault]]\nkind = 'discovery_down'\nat_s = 1.0\nfor_s = 0.8\n"},
+      {"origin",
+       "[[fault]]\nkind = 'origin_stop'\nat_s = 0.5\nfor_s = 1\n[[fault]]\nkind = 'burst'\nsize = 3\nat_s "
+       "= 1\nfor_s = 1\n"},
+      {"router", "[[fault]]\nkind = 'kill_router'\ncount = 1\nat_s = 0.8\nfor_s = 0.5\n"},
+      {"flood",
+       "[[fault]]\nkind = 'flood'\nsize = 40\nat_s = 0.5\nfor_s = 1.5\n[[fault]]\nkind = 'heavy'\nsize = "
+       "10\nshare = 0.02\nat_s = 0.5\nfor_s = 2\n"},
+  };
+  for (const auto& [name, faults] : rows) {
+    DYNAMIC_SECTION(name) {
+      Folder folder;
+      const Outcome outcome = Play(Site(faults), {BRASSWOOD_PROGRAM}, folder.path);
+      for (const std::string& trouble : outcome.troubles) FAIL_CHECK(trouble);
+      for (const Breach& b : outcome.breaches) FAIL_CHECK(Story(outcome.truth, b));
+      CHECK(Measure(outcome).asked > 50);
+    }
+  }
+}
+
+TEST_CASE("a load that cannot keep its schedule voids the run") {
+  Folder folder;
+  std::string site = Site("");
+  site.replace(site.find("late_limit_ms = 60000"), 21, "late_limit_ms = 0.01 ");
+  const Outcome outcome = Play(site, {BRASSWOOD_FAULTY, "honest"}, folder.path);
+  REQUIRE(outcome.void_because.size() == 1);
+  CHECK_THAT(outcome.void_because[0], Catch::Contains("behind its schedule"));
+  CHECK(Decide(outcome, Measure(outcome)) == Verdict::kVoid);
+}
+
+TEST_CASE("a router that will not start, or that ends by itself, is a trouble") {
+  Folder folder;
+  const Outcome outcome = Play(Site(""), {"/bin/false"}, folder.path);
+  REQUIRE_FALSE(outcome.troubles.empty());
+  CHECK(Decide(outcome, Measure(outcome)) == Verdict::kFailed);
+}
+
+TEST_CASE("an interrupted run leaves a valid partial result") {
+  Folder folder;
+  std::atomic<bool> interrupted{false};
+  RunOptions options;
+  options.router = {BRASSWOOD_FAULTY, "honest"};
+  options.folder = folder.path;
+  options.interrupted = &interrupted;
+  options.progress = [&](Duration, std::uint64_t sent, std::uint64_t) { interrupted = sent > 20; };
+  const Outcome outcome = RunOnce(ReadScenario(Site(""), "test"), options);
+  CHECK(outcome.partial);
+  CHECK(outcome.breaches.empty());
+  WriteAll(folder.path, outcome, Measure(outcome));
+  CHECK(std::filesystem::file_size(folder.path + "/result.json") > 1000);
+  CHECK(std::filesystem::file_size(folder.path + "/report.html") > 1000);
+}
