Let submitters that use their connections again rest in greater number

The two kinds differ in one thing that the router sees: whether a connection is used again. Those that have come back from a rest now queue apart, with a quarter of the descriptors for their part; those used once keep the old bound.

--- a/lab/report/html.cpp
+++ b/lab/report/html.cpp
@@ -67,7 +67,7 @@
   std::string Draw() {
     Scale();
     out_ << "<figure><figcaption>" << Escape(plot_.title) << " <small>(" << Escape(plot_.unit)
-         << ")</small></figcaption><svg viewBox='0 0 860 " << kHeight + 46 << "' role='img'>";
+         << ")</small></figcaption><svg viewBox='0 0 860 " << kTop + kHeight + 40 << "' role='img'>";
     Faults();
     Axes();
     for (std::size_t i = 0; i < plot_.lines.size(); ++i) {
@@ -107,8 +107,14 @@
     }
     high = std::max(high, plot_.least_top);
     if (high <= 0) high = 1;
-    const double step = std::pow(10, std::floor(std::log10(high)));
-    high_ = plot_.fixed_top > 0 ? plot_.fixed_top : std::ceil(high * 1.02 / (step / 2)) * step / 2;
+    // Four steps, each of a round length.
+    double step = std::pow(10, std::floor(std::log10(high / 4)));
+    for (const double times : {1.0, 2.0, 2.5, 5.0, 10.0}) {
+      if (4 * step * times < high) continue;
+      step *= times;
+      break;
+    }
+    high_ = plot_.fixed_top > 0 ? plot_.fixed_top : 4 * step;
     low_ = 0;
   }
   double X(double s) const { return kLeft + (kRight - kLeft) * std::clamp(s / length_, 0.0, 1.0); }
@@ -242,7 +248,7 @@
   std::ostringstream out;
   out << "<!doctype html><html lang='en'><meta charset='utf-8'><title>" << Escape(s.name)
       << "</title><style>body{font:15px/1.45 'DejaVu "
-         "Sans',system-ui,sans-serif;max-width:900px;margin:24px auto;padding:0 "
+         "Sans',system-ui,sans-serif;max-width:1000px;margin:24px auto;padding:0 "
          "16px;color:#222}figure{margin:0 0 22px}figcaption{font-weight:600}svg{width:100%;height:auto}td "
          "svg{width:130px}svg text{font-size:11px;fill:#444}svg text.fault{font-size:10px;fill:#8a6100}"
          ".grid{stroke:#ddd;stroke-width:1}.key{margin:0;font-size:13px}.key "
@@ -251,7 +257,8 @@
          "table{border-collapse:collapse;font-size:13px;margin-bottom:20px}td,th{padding:3px "
          "9px;border-bottom:1px solid "
          "#e4e4e4;text-align:left}td.n{text-align:right;font-variant-numeric:tabular-nums}"
-         "pre{background:#f6f6f6;padding:12px;overflow-x:auto;font-size:12px}.passed{color:#00704f}.failed,"
+         "pre{background:#f6f6f6;padding:12px;white-space:pre-wrap;font-size:12px}.passed{color:#00704f}."
+         "failed,"
          ".void{color:#b3400b}"
          "</style><h1>"
       << Escape(s.name) << ": <span class='" << Name(Decide(outcome, f)) << "'>" << Name(Decide(outcome, f))
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -69,6 +69,7 @@
   l.submitters =
       std::max<std::size_t>(4, std::min(half, static_cast<std::size_t>(0.25 * memory / reading)));
   l.resting = std::max<std::size_t>(8, static_cast<std::size_t>(sockets / 12));
+  l.resting_again = std::max(l.resting, std::min(static_cast<std::size_t>(sockets / 4), l.submitters / 2));
   const double each = 0.14 * memory / static_cast<double>(l.submitters);
   l.unsent = static_cast<std::size_t>(
       std::clamp(each, static_cast<double>(l.line), static_cast<double>(l.unsent)));
--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -20,14 +20,15 @@
   std::size_t discard = 80 << 20;     // read from a submitter after its last answer, and thrown away
 
   // Counts.
-  std::size_t machines = 4096;    // in one list
-  std::size_t pipeline = 128;     // commands of one submitter without their answer
-  std::size_t interim = 8;        // interim answers (1xx) before an answer
-  std::size_t jobs = 2048;        // open at once
-  std::size_t submitters = 480;   // connections held
-  std::size_t resting = 40;       // submitters with nothing open, past `brief`; the others give way
-  std::size_t claim_conns = 480;  // connections to machines, idle ones included
-  int max_attempts = 1;           // claims of one job
+  std::size_t machines = 4096;      // in one list
+  std::size_t pipeline = 128;       // commands of one submitter without their answer
+  std::size_t interim = 8;          // interim answers (1xx) before an answer
+  std::size_t jobs = 2048;          // open at once
+  std::size_t submitters = 480;     // connections held
+  std::size_t resting = 40;         // submitters with nothing open, past `brief`; the others give way
+  std::size_t resting_again = 120;  // the same, of those that have returned from a rest before
+  std::size_t claim_conns = 480;    // connections to machines, idle ones included
+  int max_attempts = 1;             // claims of one job
 
   // Times.
   Duration connect{std::chrono::milliseconds(200)};
--- a/src/net/submitter_front.cpp
+++ b/src/net/submitter_front.cpp
@@ -24,6 +24,8 @@
       names_(names),
       counters_(counters),
       listener_(nullptr, evconnlistener_free) {
+  once_.most = limits_.resting;
+  again_.most = limits_.resting_again;
   const auto at = ParseAddress(address);
   if (!at) throw std::runtime_error("not an address to listen on: " + address);
   listener_.reset(evconnlistener_new_bind(
@@ -170,6 +172,7 @@
     evbuffer_drain(bufferevent_get_input(s.buffer.get()), used);
     s.used = true;
     s.active = loop_.Now();
+    s.returned = s.returned || s.queue != nullptr;
     Rouse(s);
     switch (command.verb) {
       case Verb::kJob:
@@ -284,30 +287,33 @@
 
 // Guards against clients that take a new connection for each command and keep the old ones: they may hold
 // only so many, and with all of those at rest they have none left to ask on. So only a part of the table
-// may rest; past it the one that has rested longest is closed, soon after its answer.
+// may rest; past it the one that has rested longest is closed, soon after its answer. Those that have come
+// back from a rest before are clients that use their connections again: they have a larger part, or they
+// would find every third one closed.
 void SubmitterFront::Rest(Submitter& s) {
-  if (s.resting) return;
-  s.resting = true;
+  if (s.queue != nullptr) return;
+  s.queue = s.returned ? &again_ : &once_;
   s.rested = loop_.Now();
-  s.place = resting_.insert(resting_.end(), s.id);
-  if (resting_.size() > limits_.resting && trim_ == Deadlines::Id()) Trim();
+  s.place = s.queue->ids.insert(s.queue->ids.end(), s.id);
+  if (s.queue->ids.size() > s.queue->most && s.queue->trim == Deadlines::Id()) Trim(*s.queue);
 }
 
 void SubmitterFront::Rouse(Submitter& s) {
-  if (s.resting) resting_.erase(s.place);
-  s.resting = false;
+  if (s.queue != nullptr) s.queue->ids.erase(s.place);
+  s.queue = nullptr;
 }
 
-void SubmitterFront::Trim() {
-  trim_ = {};
-  while (resting_.size() > limits_.resting) {
-    Submitter& s = **submitters_.Find(resting_.front());
+void SubmitterFront::Trim(RestQueue& queue) {
+  queue.trim = {};
+  while (queue.ids.size() > queue.most) {
+    Submitter& s = **submitters_.Find(queue.ids.front());
     const Time due = s.rested + limits_.brief;
     if (due > loop_.Now()) {
-      trim_ = loop_.deadlines().Set(due, [this] { Trim(); });
+      queue.trim = loop_.deadlines().Set(due, [this, &queue] { Trim(queue); });
       return;
     }
     if (Unread(bufferevent_getfd(s.buffer.get()))) {  // it is about to be read
+      s.returned = true;
       Rouse(s);
       continue;
     }
--- a/src/net/submitter_front.h
+++ b/src/net/submitter_front.h
@@ -36,6 +36,11 @@
   std::uint16_t port() const;  // that it listens on
 
  private:
+  struct RestQueue {  // submitters with nothing open: the longest first
+    std::list<std::uint64_t> ids;
+    std::size_t most = 0;  // past it, and `brief`, they give way
+    Deadlines::Id trim;
+  };
   struct Pending {  // a command whose answer has not gone out
     JobId job = 0;
     std::string id;
@@ -58,10 +63,11 @@
     bool woken = false;       // a turn of Wake is due
     EventPtr discard;         // of one that is closing: reads on and throws away
     std::size_t discarded = 0;
-    std::list<std::uint64_t>::iterator place;  // in resting_, if `resting`
-    bool resting = false;
-    Time rested{0};          // since when
-    Deadlines::Id deadline;  // for its next command, or for its own close
+    RestQueue* queue = nullptr;                // where it rests; null: it does not
+    std::list<std::uint64_t>::iterator place;  // in it
+    bool returned = false;                     // has sent a command after a rest
+    Time rested{0};                            // since when
+    Deadlines::Id deadline;                    // for its next command, or for its own close
   };
   struct Ticket {  // where a job's answer goes
     std::uint64_t submitter = 0;
@@ -83,7 +89,7 @@
   void Await(Submitter& s);
   void Rest(Submitter& s);
   void Rouse(Submitter& s);
-  void Trim();
+  void Trim(RestQueue& queue);
   void Expire(std::uint64_t id);
   void HangUp(Submitter& s);
   void Discard(Submitter& s);
@@ -100,8 +106,7 @@
   bool listening_ = true;
   Slots<std::unique_ptr<Submitter>> submitters_;
   Slots<Ticket> tickets_;
-  std::list<std::uint64_t> resting_;  // used, and with nothing open: the longest first
-  Deadlines::Id trim_;
+  RestQueue once_, again_;  // by whether they have returned from a rest before
   bool draining_ = false, listener_closed_ = false;
   std::function<void()> drained_;
 };
--- a/tests/net/router_test.cpp
+++ b/tests/net/router_test.cpp
@@ -1,6 +1,7 @@
 // The program on real sockets: one test for each of the four rules, then what submitters and operators see.
 #include <catch2/catch.hpp>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "world.h"
@@ -206,6 +207,24 @@
   CHECK(router.process.err.Until(" ") != "0 ");  // not for its rest being over
 }
 
+// Guards against the rule above applied to ordinary clients: a third of their connections would be closed.
+TEST_CASE("submitters that use their connections again may rest in greater number") {
+  Router router("", 256);  // 21 may rest that were used once, 52 that came back
+  std::vector<Fd> submitters;
+  for (int i = 0; i < 40; ++i) {
+    submitters.push_back(router.Connect());
+    for (int command = 0; command < 2; ++command) {
+      submitters.back().Write("mn\r\n");
+      CHECK(submitters.back().Line() == "MN\r\n");
+    }
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));  // past their brief rest
+  for (Fd& submitter : submitters) {
+    submitter.Write("mn\r\n");
+    CHECK(submitter.Line() == "MN\r\n");
+  }
+}
+
 TEST_CASE("a submitter in the middle of a command is not at rest") {
   Router router("", 40);  // 8 may rest
   std::vector<Fd> submitters;
