Write the laboratory's shared pieces once

Read again as a whole, the laboratory drew a fault's victims in two places, took HTTP requests off a peer in two, worded milliseconds in two, and kept a claim's key twice at the origin; the platform reached into the load's folder for the name of a key. Each is one piece now (Victims and KeyName in base, TakeRequest in Server, InMs beside the records).

--- a/lab/base/plan.h
+++ b/lab/base/plan.h
@@ -5,8 +5,11 @@
 #define BRASSWOOD_LAB_BASE_PLAN_H_
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "lab/base/rng.h"
 #include "lab/base/scenario.h"
@@ -30,6 +33,23 @@
   return work;
 }
 
+// Those of `all` that the fault hits: its count or its part of them, drawn by its number in the scenario.
+template <class T>
+std::vector<T> Victims(const Scenario& s, std::size_t number, std::vector<T> all) {
+  const FaultPlan& f = s.faults[number];
+  Rng rng = MakeRng(Mix(s.seed * 131 + number), Stream::kFaults);
+  std::shuffle(all.begin(), all.end(), rng);
+  const double part = f.kind == FaultKind::kHallCut ? 1 : f.part;
+  const auto wanted = f.count > 0
+                          ? static_cast<std::size_t>(f.count)
+                          : static_cast<std::size_t>(std::ceil(part * static_cast<double>(all.size())));
+  all.resize(std::min(all.size(), wanted));
+  return all;
+}
+
+// The key of that rank of popularity.
+inline std::string KeyName(long long rank) { return "pkg-" + std::to_string(rank); }
+
 // Bytes of the value of a key.
 inline std::size_t SizeOf(const Scenario& s, std::string_view key) {
   std::uint64_t h = 1469598103934665603ull;  // FNV-1a
--- a/lab/load/load.cpp
+++ b/lab/load/load.cpp
@@ -5,8 +5,8 @@
 #include <algorithm>
 #include <stdexcept>
 
+#include "lab/base/plan.h"
 #include "lab/load/answer.h"
-#include "lab/load/keys.h"
 #include "protocol/address.h"
 
 namespace brasswood::lab {
--- a/lab/run/experiment.cpp
+++ b/lab/run/experiment.cpp
@@ -3,10 +3,8 @@
 #include <sys/resource.h>
 
 #include <algorithm>
-#include <cmath>
 #include <filesystem>
 #include <memory>
-#include <sstream>
 #include <thread>
 
 #include "lab/base/plan.h"
@@ -115,7 +113,7 @@
     for (std::size_t i = 0; i < out_.truth.scenario.faults.size(); ++i) {
       const FaultPlan& f = out_.truth.scenario.faults[i];
       if (f.kind != FaultKind::kKill) continue;
-      for (const int r : Victims(f, i)) {
+      for (const int r : Killed(f, i)) {
         steps.push_back({f.at, [this, r] {
                            out_.truth.absences.push_back({r, clock_.Now(), Time::max()});
                            routers_[static_cast<std::size_t>(r)]->Kill();
@@ -151,18 +149,12 @@
     }
   }
 
-  std::vector<int> Victims(const FaultPlan& f, std::size_t number) {
+  std::vector<int> Killed(const FaultPlan& f, std::size_t number) {
     std::vector<int> all;
     for (int r = 0; r < world_.routers(); ++r) {
       if (f.hall < 0 || r / out_.truth.scenario.routers.per_hall == f.hall) all.push_back(r);
     }
-    Rng rng = MakeRng(Mix(out_.truth.scenario.seed * 131 + number), Stream::kFaults);
-    std::shuffle(all.begin(), all.end(), rng);
-    const auto wanted = f.count > 0
-                            ? static_cast<std::size_t>(f.count)
-                            : static_cast<std::size_t>(std::ceil(f.part * static_cast<double>(all.size())));
-    all.resize(std::min(all.size(), wanted));
-    return all;
+    return Victims(out_.truth.scenario, number, std::move(all));
   }
 
   void Look() {
@@ -191,20 +183,15 @@
   }
 
   void Weigh() {
-    const auto ms = [](Duration d) {
-      std::ostringstream text;
-      text << static_cast<double>(d.count() / 10000) / 100 << " ms";
-      return text.str();
-    };
     const Truth& t = out_.truth;
     if (t.load.late_p999 > t.scenario.load.late_limit) {
-      out_.void_because.push_back("the load ran " + ms(t.load.late_p999) +
+      out_.void_because.push_back("the load ran " + InMs(t.load.late_p999) +
                                   " behind its schedule (99.9th percentile; " +
-                                  ms(t.scenario.load.late_limit) + " allowed)");
+                                  InMs(t.scenario.load.late_limit) + " allowed)");
     }
     if (t.world.lag > kMostLag) {
-      out_.void_because.push_back("the emulator's loop ran " + ms(t.world.lag) + " late (" + ms(kMostLag) +
-                                  " allowed)");
+      out_.void_because.push_back("the emulator's loop ran " + InMs(t.world.lag) + " late (" +
+                                  InMs(kMostLag) + " allowed)");
     }
   }
 
--- a/lab/truth/judge.cpp
+++ b/lab/truth/judge.cpp
@@ -12,12 +12,6 @@
 // What the platform's rules on sockets add to every limit on time.
 constexpr Duration kSocketSlack = std::chrono::milliseconds(50);
 
-std::string InMs(Duration d) {
-  std::ostringstream out;
-  out << static_cast<double>(d.count() / 10000) / 100 << " ms";
-  return out.str();
-}
-
 struct Request {
   const TryRecord* sent = nullptr;
   std::vector<const ClaimRecord*> claims;  // in the order in which they became whole
--- a/lab/truth/truth.h
+++ b/lab/truth/truth.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
+#include <sstream>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,13 @@
   return end == copy.c_str() + 16 ? id : 0;
 }
 
+// "12.34 ms".
+inline std::string InMs(Duration d) {
+  std::ostringstream out;
+  out << static_cast<double>(d.count() / 10000) / 100 << " ms";
+  return out.str();
+}
+
 constexpr int kOrigin = 0;  // the number of the origin among the machines
 
 struct MachineRecord {
--- a/lab/world/discovery.cpp
+++ b/lab/world/discovery.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "lab/world/http_request.h"
 #include "lab/world/world.h"
 
 namespace brasswood::lab {
@@ -60,13 +59,8 @@
 
 void Discovery::OnBytes(Peer& peer) {
   const std::uint64_t id = peer.id;
-  while (FindPeer(id) != nullptr) {
-    std::size_t used = 0;
-    HttpRequest request;
-    const Parsed got = ParseHttpRequest(Gathered(peer.buffer.get()), used, request);
-    if (got == Parsed::kMore) return;
-    if (got == Parsed::kBad) return Break(peer, false);
-    evbuffer_drain(bufferevent_get_input(peer.buffer.get()), used);
+  HttpRequest request;
+  while (TakeRequest(id, request)) {
     if (request.path != "/api/targets") {
       Write(peer, HttpReply(404, "", ""));
       continue;
--- a/lab/world/origin.cpp
+++ b/lab/world/origin.cpp
@@ -1,6 +1,5 @@
 #include "lab/world/origin.h"
 
-#include "lab/world/http_request.h"
 #include "lab/world/world.h"
 #include "protocol/labels.h"
 
@@ -23,13 +22,8 @@
 
 void Origin::OnBytes(Peer& peer) {
   const std::uint64_t id = peer.id;
-  while (FindPeer(id) != nullptr) {
-    std::size_t used = 0;
-    HttpRequest request;
-    const Parsed got = ParseHttpRequest(Gathered(peer.buffer.get()), used, request);
-    if (got == Parsed::kMore) return;
-    if (got == Parsed::kBad) return Break(peer, false);
-    evbuffer_drain(bufferevent_get_input(peer.buffer.get()), used);
+  HttpRequest request;
+  while (TakeRequest(id, request)) {
     if (request.path.starts_with("/-/")) {  // a probe
       if (!ailment().hang) Write(peer, HttpReply(200, "", ""));
       continue;
@@ -43,7 +37,6 @@
     ClaimRecord& c = world_.truth().claims[n];
     c.cold_miss = !write && world_.MissedCold(job);
     Pending pending;
-    pending.key = request.path.substr(1);
     pending.job_class = world_.ClassOf(request.labels);
     EachLabel(request.labels, [&](std::string_view name, std::string_view value) {
       if (name == "k") pending.write_key = value;
@@ -51,7 +44,7 @@
     const Time now = loop().Now();
     // Its capacity counts as one second of work a second on each core.
     const bool falls = meter_.Add(now, work, plan_.cores) > 1;
-    const std::string key = pending.key;
+    const std::string key = request.path.substr(1);
     pending_.emplace(n, std::move(pending));
     if (!ailment().hang && !Work(peer, n, work, key)) {
       pending_.erase(n);
@@ -70,8 +63,8 @@
   const Pending pending = std::move(pending_[claim.record]);
   pending_.erase(claim.record);
   if (!c.write) {
-    world_.Stored(c.request, pending.key);
-    const std::string value = MakeValue(c.request, c.serial, SizeOf(world_.scenario(), pending.key));
+    world_.Stored(c.request, claim.key);
+    const std::string value = MakeValue(c.request, c.serial, SizeOf(world_.scenario(), claim.key));
     return Conclude(peer, claim.record, Fate::kServed, HttpReply(200, "", value));
   }
   const ClassPlan& plan = world_.scenario().classes[pending.job_class];
@@ -84,7 +77,7 @@
   }
   if (!repeat) {
     c.applied = true;
-    world_.DropCopies(pending.key);
+    world_.DropCopies(claim.key);
   }
   Conclude(peer, claim.record, Fate::kServed, HttpReply(200, "", "r" + std::to_string(c.serial)));
 }
--- a/lab/world/origin.h
+++ b/lab/world/origin.h
@@ -21,7 +21,7 @@
   PushMeter meter_;
   Time down_until_{0};
   struct Pending {
-    std::string key, write_key;
+    std::string write_key;
     std::size_t job_class = 0;
   };
   std::unordered_map<std::size_t, Pending> pending_;     // by record
--- a/lab/world/server.cpp
+++ b/lab/world/server.cpp
@@ -170,6 +170,17 @@
   if (!more) (*held)->first = Time(0);
 }
 
+bool Server::TakeRequest(std::uint64_t id, HttpRequest& request) {
+  Peer* peer = FindPeer(id);
+  if (peer == nullptr) return false;
+  std::size_t used = 0;
+  const Parsed got = ParseHttpRequest(Gathered(peer->buffer.get()), used, request);
+  if (got == Parsed::kBad) Break(*peer, false);
+  if (got != Parsed::kDone) return false;
+  evbuffer_drain(bufferevent_get_input(peer->buffer.get()), used);
+  return true;
+}
+
 Server::Peer* Server::FindPeer(std::uint64_t id) {
   auto* held = peers_.Find(id);
   return held == nullptr ? nullptr : held->get();
--- a/lab/world/server.h
+++ b/lab/world/server.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/slots.h"
+#include "lab/world/http_request.h"
 #include "net/loop.h"
 
 namespace brasswood::lab {
@@ -61,6 +62,10 @@
   // The peer is gone, for `reset` by this side's doing. Its exchanges are still there.
   virtual void OnGone(Peer&, bool /*reset*/) {}
 
+  // The next HTTP request that the peer has sent whole, if there is one. Breaks with a peer that sends
+  // something else.
+  bool TakeRequest(std::uint64_t peer, HttpRequest& request);
+
   Peer* FindPeer(std::uint64_t id);
   void Write(Peer& peer, std::string_view text);
   // Puts the answer of that exchange down and writes what is due in order.
--- a/lab/world/world.cpp
+++ b/lab/world/world.cpp
@@ -1,9 +1,7 @@
 #include "lab/world/world.h"
 
 #include <algorithm>
-#include <cmath>
 
-#include "lab/load/keys.h"
 #include "protocol/labels.h"
 
 namespace brasswood::lab {
@@ -125,13 +123,7 @@
     const bool hall = fault.hall < 0 || nodes_[i]->plan().hall == fault.hall;
     if (in_service_[i] && nodes_[i]->alive() && hall) all.push_back(nodes_[i].get());
   }
-  Rng rng = MakeRng(Mix(scenario_.seed * 131 + number), Stream::kFaults);
-  std::shuffle(all.begin(), all.end(), rng);
-  const auto wanted =
-      fault.count > 0 ? static_cast<std::size_t>(fault.count)
-                      : static_cast<std::size_t>(std::ceil(fault.part * static_cast<double>(all.size())));
-  all.resize(std::min(all.size(), wanted));
-  return all;
+  return Victims(scenario_, number, std::move(all));
 }
 
 void World::ListLater(int machine, Listed state) {
@@ -215,9 +207,7 @@
     }
     case FaultKind::kHallCut:
     case FaultKind::kSilent: {
-      FaultPlan all = fault;
-      if (fault.kind == FaultKind::kHallCut) all.part = 1;
-      const std::vector<ExecuteNode*> hit = Pick(all, number);
+      const std::vector<ExecuteNode*> hit = Pick(fault, number);
       for (ExecuteNode* node : hit) node->SetLinks(Link::kSilent);
       return later([hit] {
         for (ExecuteNode* node : hit) {
