Judge servers from few looks, take attempts back by chance, tell a lost hall at once

Cause, in choice.cpp: FindSilent wants three requests out at one server, Judge three failures in a row, and a router met each server every four seconds; an ejection of 1 to 8 s was over before the next look. FindOverdue waited for 1.5 times the 99th percentile, which the slow servers' own answers had raised to 1.6 s (the aim is 1 s), or for again_helps_ to have been learnt from overdue attempts that were never made. Nothing knew halls.

Change: the failures that eject are as many as a second's looks, one to three; a spell outlasts a look; an answer past its aim is a failure where looks are few. An attempt is taken back as soon as another is likelier in time by 0.4, from the answer times kept with those given up as censored (which replaces two thresholds), times how often second attempts were in time. Four servers of a hall that fail with no answer from it between them make a lost hall: its connections are closed, it is tried once a second, its first answer or a start ends it.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -37,6 +37,10 @@
 constexpr double kEjectCap = 0.4;             // at most this share of the listed servers is ejected
 constexpr Duration kEjectFirst = seconds(1);  // first ejection; doubles up to kEjectMost
 constexpr Duration kEjectMost = seconds(8);
+constexpr double kLooks = 1;  // an ejection outlasts so many looks at the server, four times that at most
+constexpr int kHallLost =
+    4;  // servers of one hall that failed in a row, with no answer from it between them
+constexpr Duration kHallTrial = seconds(1);  // how often a lost hall is tried
 // No server is silent and no attempt overdue before this share of an aim, and no server later than the time
 // beside it for want of evidence: longer than a pause of a sound server, short enough for another attempt.
 constexpr double kPatienceShare = 0.25;
@@ -44,8 +48,8 @@
 constexpr int kSilentFrom =
     3;  // requests out from which on silence tells of the server, not of one request
 constexpr Duration kWatchStep = milliseconds(25);  // how often silence and overdue attempts are looked for
-constexpr double kPatience = 1.5;    // an attempt is overdue after this many times the slowest usual answer
-constexpr double kAgainHelps = 0.6;  // from this share on, overdue attempts are taken back early
+constexpr double kPatience = 3;      // a fetch is overdue after this many times the slowest usual answer
+constexpr double kAgainGains = 0.4;  // an attempt is overdue once another is likelier in time by this much
 constexpr double kRetryBudget =
     0.2;  // further attempts per request, on average; a burst of kRetryBurst at most
 constexpr double kRetryBurst = 10;
@@ -103,15 +107,35 @@
 class Times {
  public:
   void Add(Duration d) {
-    const double ms = std::max(0.01, Seconds(d) * 1e3);
-    const int i = std::clamp(static_cast<int>(std::log2(ms) * 4) + 16, 0, kBuckets - 1);
-    counts_[static_cast<std::size_t>(i)] += 1;
+    counts_[Bucket(d)] += 1;
     total_ += 1;
-    if (total_ > 1000) {
+    if (total_ + never_ > 1000) {
       for (double& c : counts_) c *= 0.5;
       total_ *= 0.5;
+      never_ *= 0.5;
     }
   }
+  // What was given up after `d` would have been answered later or never: its weight goes to what is known
+  // of those, in proportion (redistribution to the right, as Efron describes for the Kaplan-Meier
+  // estimate).
+  void AddGivenUp(Duration d) {
+    const double later = total_ + never_ - Below(d);
+    if (later < 1) {
+      never_ += 1;
+      return;
+    }
+    const std::size_t from = Bucket(d) + 1;
+    for (std::size_t i = from; i < counts_.size(); ++i) {
+      total_ += counts_[i] / later;
+      counts_[i] += counts_[i] / later;
+    }
+    never_ += never_ / later;
+  }
+  // The chance that one which has been out for `out` is answered within `more`.
+  double Chance(Duration out, Duration more) const {
+    const double later = total_ + never_ - Below(out);
+    return later <= 0 || more <= Duration(0) ? 0 : (Below(out + more) - Below(out)) / later;
+  }
   bool Known() const { return total_ >= 20; }
   Duration Quantile(double q) const {
     double left = q * total_;
@@ -124,8 +148,19 @@
 
  private:
   static constexpr int kBuckets = 84;
+  static std::size_t Bucket(Duration d) {
+    const double ms = std::max(0.01, Seconds(d) * 1e3);
+    return static_cast<std::size_t>(std::clamp(static_cast<int>(std::log2(ms) * 4) + 16, 0, kBuckets - 1));
+  }
+  double Below(Duration d) const {
+    const std::size_t last = Bucket(d);
+    double sum = 0;
+    for (std::size_t i = 0; i <= last; ++i) sum += counts_[i];
+    return sum;
+  }
   std::array<double, kBuckets> counts_{};
-  double total_ = 0;
+  double total_ = 0;  // answered
+  double never_ = 0;  // of those given up, what no later answer accounts for
 };
 
 struct Server {
@@ -152,9 +187,17 @@
 
   double cold_tokens = 0;
   Time cold_at{0};
-  Time crowded_until{0};  // it refused a connection: idle ones are given back
+  std::uint32_t silent_in = 0;  // the spell of its hall's silence that it has been counted in
+  Time crowded_until{0};        // it refused a connection: idle ones are given back
 };
 
+struct Hall {
+  int silent = 0;           // servers that have failed since its last answer
+  std::uint32_t spell = 1;  // counts its answers after silence
+  Time try_at{0};           // of a lost one: when the next request may try it
+};
+constexpr int kHalls = 16;
+
 struct Holder {
   ServerId server;
   std::uint32_t life;
@@ -286,13 +329,16 @@
 
   bool Cold(const Server& s) const { return s.started > Time(0) && now_ - s.started < set_.rules.ramp; }
 
+  // How often this instance is answered by one warm server, a second. In a large fleet each balancer meets
+  // a server seldom: what it knows of one comes from few looks.
+  double LookRate() const { return served_.Read(now_, kRateTau) / Seconds(kRateTau) / std::max(1, warm_); }
+
   // This instance's share of what a cold server bears is in proportion to what it sends a warm one: summed
   // over all instances that is the load that warm servers are seen to bear, and less than their capacity.
   void FillCold(Server& s) const {
     const double age = std::clamp(Seconds(now_ - s.started) / Seconds(set_.rules.ramp), 0.0, 1.0);
     const double share = set_.rules.cold_from + (1 - set_.rules.cold_from) * age;
-    const double rate = kColdMargin * set_.rules.fall_multiple * share * served_.Read(now_, kRateTau) /
-                        Seconds(kRateTau) / std::max(1, warm_);
+    const double rate = kColdMargin * set_.rules.fall_multiple * share * LookRate();
     const double most = std::max(1.0, rate * Seconds(set_.rules.fall) / 2);
     s.cold_tokens = std::min(most, s.cold_tokens + rate * Seconds(now_ - s.cold_at));
     s.cold_at = now_;
@@ -309,7 +355,11 @@
   // them by chance must not take it out. (Resets on all servers alike once filled kEjectCap, and a server
   // that hung stayed in.)
   void Judge(Server& s, bool failed, bool hard, bool astray = false) {
-    s.failure_share += kHealthStep * ((failed ? 1 : 0) - s.failure_share);
+    // A second's looks make the evidence: where they are one or none, one failure is all that there will
+    // be, and waiting for three costs as many requests at each balancer of the fleet.
+    const double looks = LookRate() * Seconds(kEjectFirst);
+    const int streak = std::clamp(1 + static_cast<int>(looks), 1, kEjectStreak);
+    s.failure_share += (looks < 1 && !astray ? 0.5 : kHealthStep) * ((failed ? 1 : 0) - s.failure_share);
     fleet_failure_ += kHealthStep / 10 * ((failed ? 1 : 0) - fleet_failure_);
     if (!astray) s.failure_streak = failed ? s.failure_streak + 1 : 0;
     if (s.ejected && now_ >= s.ejected_until) {
@@ -327,7 +377,7 @@
     }
     const bool worse_than_peers = s.failure_share > 2 * fleet_failure_ + 0.1;
     if (!s.ejected && worse_than_peers &&
-        (s.failure_share > kEjectShare || (!astray && s.failure_streak >= kEjectStreak) ||
+        (s.failure_share > kEjectShare || (!astray && s.failure_streak >= streak) ||
          (hard && s.failure_streak >= 2))) {
       Eject(s);
     }
@@ -342,8 +392,11 @@
       if (ejected + 1 > kEjectCap * listed) return;
     }
     s.ejected = true;
-    const double spell = Seconds(kEjectFirst) * std::exp2(std::min(s.ejections, 6));
-    s.ejected_until = now_ + FromSeconds(std::min(spell, Seconds(kEjectMost)) * (1 + 0.2 * Uniform()));
+    // Shorter than the time between two looks, a spell would change nothing.
+    const double look = kLooks / std::max(LookRate(), 0.25);
+    const double spell = std::max(Seconds(kEjectFirst), look) * std::exp2(std::min(s.ejections, 6));
+    const double most = std::max(Seconds(kEjectMost), 4 * look);
+    s.ejected_until = now_ + FromSeconds(std::min(spell, most) * (1 + 0.2 * Uniform()));
     ++s.ejections;
   }
   // The least patience that an aim leaves. (A fixed time was longer than the whole aim where all is quick.)
@@ -393,43 +446,78 @@
       out_->emplace_back(Cancel{r->id, static_cast<int>(r->attempts.size()) - 1});
     }
   }
-  // Guards against attempts that nothing will ever answer while their server answers others: the connection
-  // has fallen silent, and would be found out only as the client gives up. A safe request, or a keyed one
-  // within its rules, is taken back once, when it has been out for longer than answers ever take here, or
-  // longer than nearly all do and it is high time for another attempt to be in time; and while the retry
-  // budget lasts: that keeps a tier that is merely slow from being sent everything twice. The origin goes
-  // on with what it was sent: it gets double the time, and keeps all while it is strained.
+  // Guards against attempts that nothing will ever answer, or not in time, while another one would be: the
+  // server is slow or hangs, or the connection has fallen silent. A safe request, or a keyed one within its
+  // rules, is taken back once, as soon as another attempt is clearly likelier to be in time than this one,
+  // by what answers take here and by how second attempts have fared; and while the retry budget lasts. In a
+  // tier that is merely slow neither is likelier, and nothing is sent twice. The origin goes on with what
+  // it was sent: it gets longer than answers ever take, and keeps all while it is strained.
   void FindOverdue() {
     if (!times_.Known() || !set_.allowed.cancel) return;
     const Duration slowest = FromSeconds(kPatience * Seconds(times_.Quantile(0.99)));
-    const Duration again = times_.Quantile(0.5), most_take = times_.Quantile(0.99);
-    // Another attempt is in time if it takes what nine in ten take, and half as much again for a fetch.
-    const Duration in_time = 3 * times_.Quantile(0.9) / 2;
     double room = RetryRoom();
     for (auto& [key, r] : requests_) {
       if (r.ended || r.streaming || r.out != 1 || !r.attempts.back().out) continue;
       Attempt& a = r.attempts.back();
       const Server& s = servers_[a.server];
       const RequestClass& c = ClassOf(r);
-      const Time last = c.aim > Duration(0) ? std::min(r.deadline, r.arrived + c.aim) : r.deadline;
+      const Time last = LastUse(r);
       const Duration out = now_ - a.sent;
-      const bool high_time =
-          again_helps_ > kAgainHelps && now_ + in_time + kWatchStep >= last && out >= most_take;
-      if (out < PatienceFrom(c.aim) || (out < (IsOrigin(s) ? 2 * slowest : slowest) && !high_time))
-        continue;
-      if (IsOrigin(s) && fetch_bad_ > kFetchBad) continue;
+      if (out < PatienceFrom(c.aim)) continue;
       if (std::any_of(r.attempts.begin(), r.attempts.end(), [](const Attempt& o) { return o.overdue; }))
         continue;
       if (static_cast<int>(r.attempts.size()) >= set_.allowed.max_attempts) continue;
-      const bool keyed = c.effect == Effect::kKeyed && c.group == Group::kAll && out + again < c.window;
-      if ((c.effect != Effect::kSafe && !keyed) || now_ + again >= last) continue;
+      // A miss may come between, and a fetch after it: half as much again as one answer takes.
+      const double again = again_helps_ * times_.Chance(Duration(0), 2 * (last - now_) / 3);
+      if (IsOrigin(s)) {
+        if (out < slowest || fetch_bad_ > kFetchBad || again < 0.5) continue;
+      } else {
+        const double stay = HallLost(s) ? 0 : (1 - s.failure_share) * times_.Chance(out, last - now_);
+        if (again < stay + kAgainGains) continue;
+      }
+      const bool keyed =
+          c.effect == Effect::kKeyed && c.group == Group::kAll && now_ - a.sent < c.window / 2;
+      if (c.effect != Effect::kSafe && !keyed) continue;
       if ((room -= 1) < 0) break;
       a.overdue = true;
       a.astray = s.answered > a.sent;
       out_->emplace_back(Cancel{r.id, static_cast<int>(r.attempts.size()) - 1});
     }
   }
-  bool Healthy(const Server& s) const { return !s.ejected || (now_ >= s.ejected_until && s.trials == 0); }
+  // Until when an answer is worth anything.
+  Time LastUse(const Request& r) const {
+    const Duration aim = ClassOf(r).aim;
+    return aim > Duration(0) ? std::min(r.deadline, r.arrived + aim) : r.deadline;
+  }
+
+  // ---- Halls: a whole one that falls silent is told from a server in trouble ----
+
+  Hall& HallOf(const Server& s) {
+    return halls_[static_cast<std::size_t>(std::clamp(s.zone, 0, kHalls - 1))];
+  }
+  const Hall& HallOf(const Server& s) const { return const_cast<Core*>(this)->HallOf(s); }
+  bool HallLost(const Server& s) const { return !IsOrigin(s) && HallOf(s).silent >= kHallLost; }
+  // Guards against learning server by server, at each balancer, what the first few have told: that nothing
+  // answers in the hall. Any answer from there, or a server that starts there, ends it.
+  void HearHall(Server& s, bool answered) {
+    if (IsOrigin(s)) return;
+    Hall& hall = HallOf(s);
+    if (answered) {
+      if (hall.silent > 0) ++hall.spell;
+      hall.silent = 0;
+    } else if (s.silent_in != hall.spell) {
+      s.silent_in = hall.spell;
+      if (++hall.silent != kHallLost) return;
+      hall.try_at = now_ + kHallTrial;
+      for (ServerId id : up_) {  // what is open there leads nowhere
+        if (servers_[id].zone == s.zone && !IsOrigin(servers_[id])) out_->push_back(CloseIdle{id});
+      }
+    }
+  }
+  bool Healthy(const Server& s) const {
+    if (HallLost(s)) return now_ >= HallOf(s).try_at;
+    return !s.ejected || (now_ >= s.ejected_until && s.trials == 0);
+  }
 
   // ---- The LARD choice ----
 
@@ -557,6 +645,7 @@
     if (!Allowed(r, id) || !ColdRoom(s)) return false;
     if (Cold(s)) s.cold_tokens -= 1;
     if (s.ejected) ++s.trials;
+    if (HallLost(s)) HallOf(s).try_at = now_ + kHallTrial;
     CountInflight(s, +1);
     r.attempts.push_back({id, now_, fetch});
     fetches_out_ += fetch;
@@ -748,7 +837,11 @@
     if (e.result == Result::kConnectFailed) s.crowded_until = now_ + kCrowdedSpell;
     if (s.inflight == 0 && now_ < s.crowded_until) out_->push_back(CloseIdle{e.server});
     if (e.complete) r.ended = true;
-    Learn(s, a, e);
+    const bool answered = e.result != Result::kTimeout && e.result != Result::kConnectFailed;
+    if (e.result != Result::kMoot && (e.result != Result::kCancelled || a.overdue)) {
+      HearHall(s, answered && !a.overdue);
+    }
+    Learn(s, r, a, e);
     LearnFetch(r, a, e);
     LearnAgain(r, a, e.result);
     if (!r.ended && !r.streaming) Continue(r, e.result);
@@ -805,22 +898,28 @@
   // was.
   void LearnAgain(const Request& r, const Attempt& a, Result result) {
     if (&a != &r.attempts.back() || result == Result::kMiss || result == Result::kCancelled) return;
-    if (r.attempts.size() < 2 || std::none_of(r.attempts.begin(), r.attempts.end() - 1,
-                                              [](const Attempt& o) { return o.overdue; })) {
+    if (std::none_of(r.attempts.begin(), r.attempts.end() - 1,
+                     [](const Attempt& o) { return o.overdue; })) {
       return;
     }
-    const Duration usual = a.fetch ? FromSeconds(fetch_time_ * 3 / 2) : times_.Quantile(0.75);
-    const bool quick = result == Result::kOk && now_ - a.sent <= usual;
-    again_helps_ += 0.1 * ((quick ? 1 : 0) - again_helps_);
+    const bool helped = result == Result::kOk && now_ <= LastUse(r);
+    again_helps_ += 0.1 * ((helped ? 1 : 0) - again_helps_);
   }
 
-  void Learn(Server& s, const Attempt& a, const Outcome& e) {
+  void Learn(Server& s, const Request& r, const Attempt& a, const Outcome& e) {
+    if (e.result == Result::kTimeout || (e.result == Result::kCancelled && a.overdue)) {
+      times_.AddGivenUp(now_ - a.sent);
+    }
+    // In a lost hall no failure is the server's own: it is to be well again as soon as its hall is.
+    if (HallLost(s)) return;
     switch (e.result) {
       case Result::kOk:
         served_.Add(now_, kRateTau, 1);
         times_.Add(now_ - a.sent);
         typical_ += 0.02 * (Seconds(now_ - a.sent) - typical_);
-        Judge(s, false, false);
+        // Where looks are few, load shows only how slow an answer was: one too late to be worth anything is
+        // a failure, unless it was late to begin with.
+        Judge(s, LookRate() < 1 && now_ > LastUse(r) && now_ - a.sent > times_.Quantile(0.95), false);
         break;
       case Result::kMiss:
         Judge(s, false, false);
@@ -955,6 +1054,7 @@
       s.failure_share = 0;
       s.failure_streak = 0;
       s.crowded_until = Time(0);
+      if (s.life > 1) HearHall(s, true);  // started anew
       s.cold_tokens = Uniform();  // a random start spreads the first sends of many instances over time
       s.cold_at = now_;
     }
@@ -988,9 +1088,10 @@
   Time now_{0};
   Actions* out_ = nullptr;
 
-  std::vector<Server> servers_;  // by ServerId
-  std::vector<ServerId> up_;     // those listed as up
-  std::vector<double> loads_;    // scratch of Choose
+  std::vector<Server> servers_;     // by ServerId
+  std::vector<ServerId> up_;        // those listed as up
+  std::vector<double> loads_;       // scratch of Choose
+  std::array<Hall, kHalls> halls_;  // by zone
   Duration longest_aim_{0};
   int warm_ = 1;
   std::size_t origins_ = 0;
@@ -1006,7 +1107,7 @@
   Times times_;
   double typical_ = 0.05;  // seconds of a usual answer
   double retry_tokens_ = kRetryBurst;
-  double again_helps_ = 0.5;  // share of overdue attempts whose next one was answered quickly
+  double again_helps_ = 0.9;  // share of overdue attempts whose next one was answered in time
   Smoothed served_;           // answers, decaying: its value over kRateTau is the rate
   int fetches_out_ = 0;
   double fetch_limit_ = kFetchStart;
