Sample the scan to the own hall on large fleets, and let whole keys cross when it is slow

Cause: Choose in choice.cpp settles ties by the hash over all servers, and on such a fleet nearly every new key is a tie: one request out is all the load that a router ever sees of a server. Ruled out: moves of mapped keys (attempts after the first are 4%), connections closed by servers (none noted).

Change: where crossing has a price and a server is met less than once a second, ties go to the own hall first, the sampling of the scan that the design leaves open on large fleets; still one home for a key at all routers of a hall. A hall with more traffic than its part shows only in its pace: while its answers take 1.5 times the other's, a share of the keys by hash crosses, whole keys, 5% each half second, and comes home below 1.2.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -8,6 +8,7 @@
 #include <list>
 #include <random>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 
 #include "beechledge/balancer.h"
@@ -38,6 +39,11 @@
 constexpr Duration kEjectFirst = seconds(1);  // first ejection; doubles up to kEjectMost
 constexpr Duration kEjectMost = seconds(8);
 constexpr double kLooks = 1;  // an ejection outlasts so many looks at the server, four times that at most
+constexpr double kPaceStep = 0.04;                  // weight of one answer in its hall's pace
+constexpr double kHomeSlow = 1.5, kHomeEven = 1.2;  // times the other hall's pace: keys cross, or come home
+constexpr double kHomeShareStep = 0.05;             // so large a share of the keys
+constexpr Duration kHomeStep = milliseconds(500);   // at a time
+constexpr std::uint64_t kHomeSalt = 0x5851f42d4c957f2dULL;
 constexpr int kHallLost =
     4;  // servers of one hall that failed in a row, with no answer from it between them
 constexpr Duration kHallTrial = seconds(1);  // how often a lost hall is tried
@@ -542,6 +548,28 @@
     return h == entry->holders.end() ? nullptr : &*h;
   }
 
+  // On large fleets the scan is a sample, as the design leaves open: for a new key the servers of the own
+  // hall come first, where crossing has a price and servers are met so seldom that their loads, as seen
+  // from here, settle nothing. Each hall then keeps its own copies, fewer connections serve as many claims,
+  // and a key's home is still the same at every balancer of a hall. Where the own hall carries more than
+  // its part of the traffic, whole keys cross, as many as keep its answers from being slower than the
+  // other's.
+  bool StaysHome(std::uint64_t key) const {
+    if (set_.prices.cross_zone <= 0 || LookRate() >= 1) return false;
+    return static_cast<double>(Mix(key ^ kHomeSalt) >> 11) * 0x1.0p-53 < home_share_;
+  }
+  // One answer's part in that: `took` is how long a cache server's answer took, or was waited for in vain.
+  void LearnPace(const Server& s, Duration took) {
+    if (IsOrigin(s)) return;
+    double& pace = s.zone == set_.zone ? home_pace_ : away_pace_;
+    pace += kPaceStep * (std::log(std::max(1e-4, Seconds(took))) - pace);
+    if (now_ - home_share_at_ < kHomeStep) return;
+    home_share_at_ = now_;
+    const double slower = std::exp(home_pace_ - away_pace_);
+    if (slower > kHomeSlow) home_share_ = std::max(0.0, home_share_ - kHomeShareStep);
+    if (slower < kHomeEven) home_share_ = std::min(1.0, home_share_ + kHomeShareStep);
+  }
+
   // The server of the least summed cost among those ready, ties to the highest hash; -1: none is ready.
   // Where every sum is infinite (all overloaded) the order among them is that of the loads.
   int Choose(const Request& r, bool spare_ejected) {
@@ -567,7 +595,8 @@
     const double unit = std::max(sum / ready + mark, 1.0 / set_.balancers);
     int best = -1;
     double best_cost = 0, best_load = 0;
-    bool holder_busy = false;
+    bool holder_busy = false, best_away = false;
+    const bool sampled = StaysHome(r.key);
     std::uint64_t best_hash = 0;
     for (ServerId id : up_) {
       if (loads_[id] < 0) continue;
@@ -578,15 +607,17 @@
       const bool again = r.Tried(id);  // a server that failed this request comes after all others
       const double cost =
           CostBalancing(load) + CostLocality(mapped) + CostReplacement(load, mapped) + (again ? 1e6 : 0);
+      const bool away = sampled && s.zone != set_.zone;
       const std::uint64_t hash = PairHash(r.key, s.hash);
       const double tie_load = std::isinf(cost) ? load : 0;
       const bool better =
-          best < 0 || cost < best_cost ||
-          (cost == best_cost && (tie_load < best_load || (tie_load == best_load && hash > best_hash)));
+          best < 0 || std::tie(cost, tie_load, away) < std::tie(best_cost, best_load, best_away) ||
+          (cost == best_cost && tie_load == best_load && away == best_away && hash > best_hash);
       if (!better) continue;
       best = static_cast<int>(id);
       best_cost = cost;
       best_load = tie_load;
+      best_away = away;
       best_hash = hash;
     }
     holder_busy_ = holder_busy;
@@ -909,6 +940,7 @@
   void Learn(Server& s, const Request& r, const Attempt& a, const Outcome& e) {
     if (e.result == Result::kTimeout || (e.result == Result::kCancelled && a.overdue)) {
       times_.AddGivenUp(now_ - a.sent);
+      if (!HallLost(s)) LearnPace(s, 2 * (now_ - a.sent));
     }
     // In a lost hall no failure is the server's own: it is to be well again as soon as its hall is.
     if (HallLost(s)) return;
@@ -916,6 +948,7 @@
       case Result::kOk:
         served_.Add(now_, kRateTau, 1);
         times_.Add(now_ - a.sent);
+        LearnPace(s, now_ - a.sent);
         typical_ += 0.02 * (Seconds(now_ - a.sent) - typical_);
         // Where looks are few, load shows only how slow an answer was: one too late to be worth anything is
         // a failure, unless it was late to begin with.
@@ -1107,6 +1140,9 @@
   Times times_;
   double typical_ = 0.05;  // seconds of a usual answer
   double retry_tokens_ = kRetryBurst;
+  double home_share_ = 1;                   // of the new keys that stay in the own hall
+  double home_pace_ = -2, away_pace_ = -2;  // mean logarithm of the seconds to an answer
+  Time home_share_at_{0};
   double again_helps_ = 0.9;  // share of overdue attempts whose next one was answered in time
   Smoothed served_;           // answers, decaying: its value over kRateTau is the rate
   int fetches_out_ = 0;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -419,16 +419,21 @@
 // A large fleet from one balancer's view: sixty servers in two halls, some fifteen requests a second.
 class FewLooks : public ::testing::Test {
  protected:
-  FewLooks() {
+  explicit FewLooks(double cross_zone = 0, std::uint64_t seed = 1) : d(Priced(cross_zone), seed) {
     std::vector<ServerEntry> entries;
     for (ServerId id = 0; id < 60; ++id) entries.push_back(Up(id, Time(0), static_cast<int>(id % 2)));
     d.List(ListKind::kRemembered, entries);
     for (int i = 0; i < 300; ++i) Next("warm" + std::to_string(i));
   }
+  static Settings Priced(double cross_zone) {
+    Settings s = PlainSettings();
+    s.prices.cross_zone = cross_zone;
+    return s;
+  }
   // One request; those at `dead` servers end so, at the client's end or as their connection fails.
   int Next(const std::string& key, Result result = Result::kTimeout) {
     const int at = d.Ask(key, 0, seconds(1));
-    d.Pass(milliseconds(40));
+    d.Pass(at % 2 == 0 ? home_takes : milliseconds(40));
     if (at >= 0 && !d.concluded.contains({d.last_id, 0})) {
       d.Ends(d.last_id, 0, dead.contains(at) ? result : Result::kOk);
       d.AnswerAll();
@@ -437,6 +442,7 @@
     return at;
   }
   std::set<int> dead;
+  Duration home_takes = milliseconds(40);  // of servers in hall 0
   Driver d;
 };
 
@@ -483,6 +489,57 @@
   EXPECT_GT(met, 30);
 }
 
+// Where crossing has a price new keys go to the own hall, and there to the same server at every balancer.
+struct PricedHalls : FewLooks {
+  using FewLooks::home_takes;
+  using FewLooks::Next;
+  explicit PricedHalls(std::uint64_t seed = 1) : FewLooks(0.13, seed) {}
+  int Away(const std::string& name) {
+    int away = 0;
+    for (int i = 0; i < 200; ++i) away += Next(name + std::to_string(i)) % 2 == 1;
+    return away;
+  }
+  void TestBody() override {}
+};
+TEST(Halls, NewKeysGoToTheOwnHallAndToOneServerThere) {
+  PricedHalls one(1), other(2);
+  for (int i = 0; i < 100; ++i) {
+    const int at = one.Next("new" + std::to_string(i));
+    EXPECT_EQ(at % 2, 0);
+    EXPECT_EQ(other.Next("new" + std::to_string(i)), at);
+  }
+}
+
+// Guards against a hall that drowns in its own traffic while the other one rests: no balancer meets one
+// server often enough to see its load.
+TEST(Halls, KeysCrossWhileTheOwnHallIsSlowerAndComeHomeAfterwards) {
+  PricedHalls t;
+  EXPECT_EQ(t.Away("even"), 0);
+  t.home_takes = milliseconds(150);
+  t.Away("slow");
+  const int away = t.Away("still");
+  EXPECT_GT(away, 60);
+  t.home_takes = milliseconds(40);
+  for (int i = 0; i < 3; ++i) t.Away("better" + std::to_string(i));
+  EXPECT_LT(t.Away("after"), 20);
+}
+
+// A small fleet meets each server often: there the hash places keys, whatever the hall, and loads move
+// them.
+TEST(Halls, WithManyLooksTheHashAloneDecides) {
+  Settings s = PlainSettings();
+  s.prices.cross_zone = 0.13;
+  Driver d(s);
+  std::vector<ServerEntry> entries;
+  for (ServerId id = 0; id < 8; ++id) entries.push_back(Up(id, Time(0), static_cast<int>(id % 2)));
+  d.List(ListKind::kRemembered, entries);
+  for (int i = 0; i < 400; ++i) d.Serve("warm" + std::to_string(i), milliseconds(10));
+  int away = 0;
+  for (int i = 0; i < 200; ++i) away += d.Serve("new" + std::to_string(i), milliseconds(10)) % 2;
+  EXPECT_GT(away, 60);
+  EXPECT_LT(away, 140);
+}
+
 // Guards against idle connections into a lost hall: each would take a request and say nothing.
 TEST_F(FewLooks, ConnectionsIntoALostHallAreClosed) {
   for (int id = 0; id < 60; id += 2) dead.insert(id);
