Give lists that cannot be right an outcome, and look for silence by timer alone

Seen while writing the table of bad lists: a member whose boot_ms lies ahead (a clock that is wrong) was cold until that time came (Cold in choice.cpp compares with now), so it got next to nothing for an hour, and changes of a version older than the list held were applied as news (OnRead in discovery_watch.cpp took any rev), which could take machines out. And for each new request FindSilent went over all servers, which the timer does every 25 ms already: at 60 servers a second loop over all of them beside that of the choice. A machine that starts in a lost hall now ends its loss also where it is new (only a second start did).

Change: such a start counts as the moment it is told; older changes are refused with one log line and the whole list is asked for. Tests: starts that jump, empty lists, unknown machines, refusals and balancers of -1, 0, 100 and 2^31-1 lose no request and bring no storm of calls; the old changes on sockets.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -174,8 +174,8 @@
   std::uint64_t hash = 0;
   int zone = 0, kind = 0, cell = 0;
   Availability availability = Availability::kRemoved;
-  Time started{0};
-  std::uint32_t life = 0;  // counts restarts: what it held before is gone
+  Time started{0}, stated{0};  // its last start; as the list has it, be it in the future
+  std::uint32_t life = 0;      // counts restarts: what it held before is gone
 
   int inflight = 0;
   Time heard{0};      // when it last answered anything, or was given work while it had none
@@ -831,7 +831,6 @@
     r.deadline = now_ + std::clamp(e.ttl, Duration(0), Duration(seconds(86400)));
     retry_tokens_ = std::min(kRetryBurst, retry_tokens_ + kRetryBudget);
     SetRequestTimer(TimerKind::kDeadline, r.id, r.deadline);
-    FindSilent();
     if (!watching_) SetRequestTimer(TimerKind::kWatch, 0, now_ + kWatchStep);
     watching_ = true;
     Dispatch(r);
@@ -1081,17 +1080,19 @@
     s.kind = entry.kind;
     s.cell = entry.cell;
     s.availability = entry.availability;
-    if (s.started != entry.started) {
+    if (s.stated != entry.started) {
       ++s.life;
       s.ejected = false;
       s.failure_share = 0;
       s.failure_streak = 0;
       s.crowded_until = Time(0);
-      if (s.life > 1) HearHall(s, true);  // started anew
+      HearHall(s, true);
       s.cold_tokens = Uniform();  // a random start spreads the first sends of many instances over time
       s.cold_at = now_;
     }
-    s.started = entry.started;
+    // Guards against a start that lies ahead, by a clock that is wrong: it would stay cold until then.
+    if (s.stated != entry.started) s.started = std::min(entry.started, now_);
+    s.stated = entry.started;
   }
 
   void Recount() {
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -101,6 +101,12 @@
   std::string why;
   const auto list = ReadMachineList(answer.body, names_, limits_, why);
   if (!list) return Refuse("machine list refused: " + why);
+  // Changes to a list that is older than the one held fit neither: discovery has started anew on old state.
+  // The whole list is asked for, as the module asks again.
+  if (!list->all && rev_ && list->rev < *rev_) {
+    rev_.reset();
+    return Refuse("changes of version " + std::to_string(list->rev) + ", older than what is held");
+  }
   loop_.deadlines().Drop(deadline_);
   calling_ = false;
   fetch_ = false;
--- a/tests/net/router_test.cpp
+++ b/tests/net/router_test.cpp
@@ -493,6 +493,21 @@
   CHECK(claim.Line().starts_with("mg k v Oa1"));
 }
 
+TEST_CASE("changes older than the list that is held change nothing, and the whole list is asked for") {
+  Listener node;
+  Router router(Target("s1", node.address(), "in_service"));
+  Fd discovery = router.discovery.Accept();
+  WatchCall(discovery);
+  discovery.Write(Http(List(0, false, Target("s1", node.address(), "terminated"))));
+  CHECK_FALSE(router.process.err.Until("changes of version 0, older than what is held").empty());
+  Fd again = router.discovery.Accept();
+  CHECK(WatchCall(again).starts_with("GET /api/targets HTTP"));
+  Fd submitter = router.Connect();
+  submitter.Write(Read("k", "a1"));
+  Fd claim = node.Accept();
+  CHECK(claim.Line().starts_with("mg k v Oa1"));
+}
+
 TEST_CASE("a bad configuration ends the program with one plain line") {
   Process p = Start(R"({"name":"n1","listen":"nowhere"})");
   CHECK(p.listen == "brasswood: configuration: \"listen\" is not an address and port: nowhere\n");
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -145,6 +145,70 @@
 }
 
 // Random legal histories at several settings, checked from outside with a ledger of their own.
+// Lists that cannot be right: each has an outcome, and no request is lost by it.
+TEST(Lists, AStartInTheFutureCountsAsNow) {
+  Driver d;
+  d.Servers(2);
+  ServerEntry ahead = Up(2, d.now + seconds(3600));
+  d.List(ListKind::kChanges, {ahead});
+  for (int round = 0; round < 30; ++round) {  // warm after its ramp of 20 s, however often it is told
+    d.Pass(seconds(1));
+    d.List(ListKind::kChanges, {ahead});
+    for (int i = 0; i < 20; ++i) d.Serve("k" + std::to_string(i), milliseconds(5));
+  }
+  std::size_t before = 0;
+  for (const auto& s : d.sends) before += s.send.server == 2;
+  for (int i = 0; i < 200; ++i) d.Serve("new" + std::to_string(i), milliseconds(5));
+  std::size_t after = 0;
+  for (const auto& s : d.sends) after += s.send.server == 2;
+  EXPECT_GT(after - before, 40u);
+}
+
+TEST(Lists, JumpingStartsEmptyListsAndUnknownMachinesLoseNothing) {
+  for (const int balancers : {-1, 0, 1, 100, INT32_MAX}) {
+    Settings s = PlainSettings();
+    s.balancers = balancers;
+    s.list_must_be_asked = true;
+    Driver d(s);
+    d.Servers(4);
+    std::mt19937_64 random(7);
+    std::size_t asked = 0, served = 0;
+    for (int i = 0; i < 300; ++i) {
+      switch (random() % 5) {
+        case 0:
+          d.List(ListKind::kChanges,
+                 {Up(static_cast<ServerId>(random() % 4), Time(seconds(random() % 300)))});
+          break;
+        case 1: {
+          ServerEntry gone = Up(static_cast<ServerId>(4 + random() % 3));
+          gone.availability = Availability::kRemoved;
+          d.List(ListKind::kChanges, {gone});
+          break;
+        }
+        case 2:
+          d.List(ListKind::kAll, {});
+          break;
+        case 3:
+          d.List(ListKind::kRefused, {});
+          break;
+        default:
+          d.Servers(4);
+      }
+      ++asked;
+      d.Ask("k" + std::to_string(i % 9));
+      d.Pass(milliseconds(20));
+      d.AnswerAll();
+      d.Pass(milliseconds(30));
+    }
+    d.Pass(seconds(3));
+    d.AnswerAll();
+    for (const auto& sent : d.sends) served += d.concluded.contains({sent.send.id, sent.attempt});
+    EXPECT_EQ(served + d.refused.size() + d.failed.size(), asked) << balancers;
+    EXPECT_GT(served, asked / 3) << balancers;
+    EXPECT_LT(d.subscribed.size(), 40u) << balancers;  // and no storm of calls
+  }
+}
+
 TEST(Property, RandomHistoriesKeepTheRules) {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     std::mt19937_64 random(seed);
