--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -81,6 +81,8 @@
   x *= 0x94d049bb133111ebULL;
   return x ^ (x >> 31);
 }
+// Random or hashed bits as a number in [0, 1).
+double Unit(std::uint64_t bits) { return static_cast<double>(bits >> 11) * 0x1.0p-53; }
 std::uint64_t StableHash(std::string_view text) {
   std::uint64_t h = 0xcbf29ce484222325ULL;
   for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
@@ -498,16 +500,15 @@
 
   // ---- Halls: a whole one that falls silent is told from a server in trouble ----
 
-  Hall& HallOf(const Server& s) {
-    return halls_[static_cast<std::size_t>(std::clamp(s.zone, 0, kHalls - 1))];
+  static std::size_t HallOf(const Server& s) {
+    return static_cast<std::size_t>(std::clamp(s.zone, 0, kHalls - 1));
   }
-  const Hall& HallOf(const Server& s) const { return const_cast<Core*>(this)->HallOf(s); }
-  bool HallLost(const Server& s) const { return !IsOrigin(s) && HallOf(s).silent >= kHallLost; }
+  bool HallLost(const Server& s) const { return !IsOrigin(s) && halls_[HallOf(s)].silent >= kHallLost; }
   // Guards against learning server by server, at each balancer, what the first few have told: that nothing
   // answers in the hall. Any answer from there, or a server that starts there, ends it.
   void HearHall(Server& s, bool answered) {
     if (IsOrigin(s)) return;
-    Hall& hall = HallOf(s);
+    Hall& hall = halls_[HallOf(s)];
     if (answered) {
       if (hall.silent > 0) ++hall.spell;
       hall.silent = 0;
@@ -521,7 +522,7 @@
     }
   }
   bool Healthy(const Server& s) const {
-    if (HallLost(s)) return now_ >= HallOf(s).try_at;
+    if (HallLost(s)) return now_ >= halls_[HallOf(s)].try_at;
     return !s.ejected || (now_ >= s.ejected_until && s.trials == 0);
   }
 
@@ -556,7 +557,7 @@
   // other's.
   bool StaysHome(std::uint64_t key) const {
     if (set_.prices.cross_zone <= 0 || LookRate() >= 1) return false;
-    return static_cast<double>(Mix(key ^ kHomeSalt) >> 11) * 0x1.0p-53 < home_share_;
+    return Unit(Mix(key ^ kHomeSalt)) < home_share_;
   }
   // One answer's part in that: `took` is how long a cache server's answer took, or was waited for in vain.
   void LearnPace(const Server& s, Duration took) {
@@ -676,7 +677,7 @@
     if (!Allowed(r, id) || !ColdRoom(s)) return false;
     if (Cold(s)) s.cold_tokens -= 1;
     if (s.ejected) ++s.trials;
-    if (HallLost(s)) HallOf(s).try_at = now_ + kHallTrial;
+    if (HallLost(s)) halls_[HallOf(s)].try_at = now_ + kHallTrial;
     CountInflight(s, +1);
     r.attempts.push_back({id, now_, fetch});
     fetches_out_ += fetch;
@@ -1081,6 +1082,9 @@
     s.cell = entry.cell;
     s.availability = entry.availability;
     if (s.stated != entry.started) {
+      s.stated = entry.started;
+      // Guards against a start that lies ahead, by a clock that is wrong: it would stay cold until then.
+      s.started = std::min(entry.started, now_);
       ++s.life;
       s.ejected = false;
       s.failure_share = 0;
@@ -1090,9 +1094,6 @@
       s.cold_tokens = Uniform();  // a random start spreads the first sends of many instances over time
       s.cold_at = now_;
     }
-    // Guards against a start that lies ahead, by a clock that is wrong: it would stay cold until then.
-    if (s.stated != entry.started) s.started = std::min(entry.started, now_);
-    s.stated = entry.started;
   }
 
   void Recount() {
@@ -1115,7 +1116,7 @@
     out_->push_back(Subscribe{true});
   }
 
-  double Uniform() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
+  double Uniform() { return Unit(random_()); }
 
   Settings set_;
   std::mt19937_64 random_;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -144,7 +144,6 @@
   EXPECT_LE(cold, 1);
 }
 
-// Random legal histories at several settings, checked from outside with a ledger of their own.
 // Lists that cannot be right: each has an outcome, and no request is lost by it.
 TEST(Lists, AStartInTheFutureCountsAsNow) {
   Driver d;
@@ -209,6 +208,7 @@
   }
 }
 
+// Random legal histories at several settings, checked from outside with a ledger of their own.
 TEST(Property, RandomHistoriesKeepTheRules) {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     std::mt19937_64 random(seed);
