Add the operators' door: readyz, figures, suspend and resume, drain and activate

Change: SO_REUSEPORT on the clients' listener; the door (net/door, protocol/door, admin/*); per-class counts and upstream tries; engine bans as state over discovery's entries; Balancer::Avoided() for the skipped figure (read only, 6 lines of policy); operator drain in the submitters' front, which also no longer closes a connection with a command unread in the kernel.

--- a/include/beechledge/balancer.h
+++ b/include/beechledge/balancer.h
@@ -248,6 +248,10 @@
   // Takes one event that happened at `now` and appends what is to be done about it to `out`.
   void Handle(Time now, const Event& event, Actions& out);
 
+  // For figures, and it decides nothing: the servers listed as up, other than the origin's kind, that the
+  // module avoids now by its own choice (ejected after failures, or in a hall that has fallen silent).
+  std::size_t Avoided() const;
+
  private:
   class Core;
   std::unique_ptr<Core> core_;
--- /dev/null
+++ b/src/admin/calls.cpp
@@ -0,0 +1,73 @@
+#include "admin/calls.h"
+
+namespace brasswood {
+namespace {
+
+bool IsId(std::string_view id) {
+  if (id.empty() || id.size() > 256) return false;
+  for (const char c : id) {
+    if (c <= ' ' || c >= 0x7f || c == '/') return false;
+  }
+  return true;
+}
+
+Route Routed(std::string_view method, std::string_view wants, CallKind kind, std::string id = {}) {
+  Route r;
+  r.kind = kind;
+  r.id = std::move(id);
+  if (method != wants) {
+    r.status = 405;
+    r.allow = std::string(wants);
+  }
+  return r;
+}
+
+}  // namespace
+
+Route Resolve(std::string_view method, std::string_view path) {
+  if (path == "/v1/readyz") return Routed(method, "GET", CallKind::kReady);
+  if (path == "/v1/metrics") return Routed(method, "GET", CallKind::kMetrics);
+  if (path == "/v1/router/drain") return Routed(method, "POST", CallKind::kDrain);
+  if (path == "/v1/router/activate") return Routed(method, "POST", CallKind::kActivate);
+  constexpr std::string_view kServers = "/v1/cache-servers/";
+  if (path.starts_with(kServers)) {
+    std::string_view rest = path.substr(kServers.size());
+    const std::size_t slash = rest.find('/');
+    if (slash != rest.npos && IsId(rest.substr(0, slash))) {
+      const std::string id(rest.substr(0, slash));
+      const std::string_view verb = rest.substr(slash + 1);
+      if (verb == "suspend") return Routed(method, "POST", CallKind::kSuspend, id);
+      if (verb == "resume") return Routed(method, "POST", CallKind::kResume, id);
+    }
+  }
+  Route none;
+  none.status = 404;
+  return none;
+}
+
+CallAnswer AnswerCall(std::string_view method, std::string_view path, Operations& router) {
+  const Route route = Resolve(method, path);
+  if (route.status == 404) return {404, "no such call\n"};
+  if (route.status == 405) return {405, "this call takes " + route.allow + "\n"};
+  switch (route.kind) {
+    case CallKind::kReady:
+      return router.Ready() ? CallAnswer{200, "ready\n"} : CallAnswer{503, "not ready\n"};
+    case CallKind::kMetrics:
+      return {200, router.Figures()};
+    case CallKind::kSuspend:
+      if (!router.Suspend(route.id)) return {404, "no cache server " + route.id + "\n"};
+      return {200, "suspended " + route.id + "\n"};
+    case CallKind::kResume:
+      if (!router.Resume(route.id)) return {404, "no cache server " + route.id + "\n"};
+      return {200, "resumed " + route.id + "\n"};
+    case CallKind::kDrain:
+      router.Drain();
+      return {200, "draining\n"};
+    case CallKind::kActivate:
+      router.Activate();
+      return {200, "active\n"};
+  }
+  return {500, "\n"};
+}
+
+}  // namespace brasswood
--- /dev/null
+++ b/src/admin/operator.cpp
@@ -0,0 +1,113 @@
+#include "admin/operator.h"
+
+#include <utility>
+
+#include "admin/figures.h"
+#include "base/log.h"
+
+namespace brasswood {
+
+Operator::Operator(Engine& engine, const Counters& counters, const Names& names, FrontHooks front,
+                   std::unique_ptr<StateFile> file)
+    : engine_(engine),
+      counters_(counters),
+      names_(names),
+      front_(std::move(front)),
+      file_(std::move(file)) {}
+
+void Operator::Restore() {
+  if (!file_) return;
+  std::string why;
+  const auto state = file_->Read(why);
+  if (!state) {
+    if (!why.empty()) LogLine(Level::kWarn) << "operator state ignored: " << why;
+    last_read_ = why;
+    return;
+  }
+  for (const std::string& uid : state->suspended) engine_.Suspend(uid, true);
+  if (!state->suspended.empty()) {
+    LogLine(Level::kInfo) << "operator state taken over: " << state->suspended.size() << " suspended";
+  }
+}
+
+void Operator::Follow(Deadlines& deadlines, std::function<Time()> now, Duration every) {
+  if (!file_) return;
+  deadlines_ = &deadlines;
+  now_ = std::move(now);
+  every_ = every;
+  deadlines_->Set(now_() + every_, [this] { Look(); });
+}
+
+// Guards against two processes of one router that disagree: a call to the old one while the new one
+// serves, or the other way round. What the file says wins; only changes are carried out.
+void Operator::Look() {
+  deadlines_->Set(now_() + every_, [this] { Look(); });
+  std::string why;
+  const auto state = file_->Read(why);
+  if (!state) {
+    if (!why.empty() && why != last_read_) LogLine(Level::kWarn) << "operator state ignored: " << why;
+    last_read_ = why;
+    return;
+  }
+  last_read_.clear();
+  const std::set<std::string> now = engine_.suspended();
+  for (const std::string& uid : state->suspended) {
+    if (!now.contains(uid)) engine_.Suspend(uid, true);
+  }
+  for (const std::string& uid : now) {
+    if (!state->suspended.contains(uid)) engine_.Resume(uid, true);
+  }
+}
+
+void Operator::Save() {
+  if (!file_) return;
+  std::string why;
+  if (!file_->Write({engine_.suspended()}, why))
+    LogLine(Level::kWarn) << "operator state not kept: " << why;
+}
+
+bool Operator::Ready() const { return front_.ready(); }
+
+std::string Operator::Figures() const {
+  brasswood::Figures f;
+  for (std::size_t i = 0; i < names_.classes.size(); ++i) {
+    ClassFigures c;
+    c.name = names_.classes[i];
+    if (i < counters_.by_class.size()) {
+      c.passed = counters_.by_class[i].passed;
+      c.dropped = counters_.by_class[i].dropped;
+      c.bad_gateway = counters_.by_class[i].bad_gateway;
+    }
+    f.classes.push_back(std::move(c));
+  }
+  f.upstream_tries = counters_.upstream_tries;
+  f.in_progress = engine_.open_jobs();
+  const Engine::Census census = engine_.Count();
+  f.known_cache_servers = census.known;
+  f.skipped_cache_servers = census.skipped;
+  return Render(f);
+}
+
+bool Operator::Suspend(const std::string& id) {
+  if (!engine_.Suspend(id)) return false;
+  Save();
+  return true;
+}
+
+bool Operator::Resume(const std::string& id) {
+  if (!engine_.Resume(id)) return false;
+  Save();
+  return true;
+}
+
+void Operator::Drain() {
+  LogLine(Level::kInfo) << "drained by hand: clients are sent away";
+  front_.send_away(true);
+}
+
+void Operator::Activate() {
+  LogLine(Level::kInfo) << "active again by hand";
+  front_.send_away(false);
+}
+
+}  // namespace brasswood
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <ostream>
+#include <vector>
 
 namespace brasswood {
 
@@ -23,6 +24,11 @@
   std::uint64_t connections_reused = 0;
   std::uint64_t probes = 0;
   std::uint64_t lists = 0, lists_refused = 0;  // answers of discovery
+  std::uint64_t upstream_tries = 0;            // claims whose last byte left for an execute node
+  struct ByClass {
+    std::uint64_t passed = 0, dropped = 0, bad_gateway = 0;  // served, refused, failed
+  };
+  std::vector<ByClass> by_class;  // by the module's class index
 };
 
 // The name of a beechledge::Result, by its number, as counters and the log have it.
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -309,6 +309,11 @@
     std::visit([this](const auto& e) { On(e); }, event);
     out_ = nullptr;
   }
+  std::size_t Avoided() const {
+    return static_cast<std::size_t>(std::count_if(up_.begin(), up_.end(), [&](ServerId id) {
+      return servers_[id].kind != set_.origin_kind && !Healthy(servers_[id]);
+    }));
+  }
 
  private:
   // ---- Load: the smoothed own in-flight, and a share of what the server reports ----
@@ -1164,5 +1169,6 @@
 Balancer::Balancer(Balancer&&) noexcept = default;
 Balancer& Balancer::operator=(Balancer&&) noexcept = default;
 void Balancer::Handle(Time now, const Event& event, Actions& out) { core_->Handle(now, event, out); }
+std::size_t Balancer::Avoided() const { return core_->Avoided(); }
 
 }  // namespace beechledge
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -114,7 +114,7 @@
 }  // namespace
 
 Config ReadConfig(std::string_view json, std::string_view name, std::string_view listen,
-                  std::string_view discovery) {
+                  std::string_view discovery, std::string_view admin) {
   rapidjson::Document in;
   in.Parse(json.data(), json.size());
   if (in.HasParseError()) {
@@ -127,6 +127,8 @@
   c.listen = Address(in, "listen", listen);
   c.discovery = Address(in, "discovery", discovery);
   c.seed = Seed(Text(in, "seed", {}));
+  // The door is there where it is named, and not otherwise: older deployments have none.
+  if (!Text(in, "admin_addr", admin).empty()) c.admin = Address(in, "admin_addr", admin);
   const Value* settings = FindField(in, "settings");
   if (settings == nullptr || !settings->IsObject()) {
     throw BadConfig("configuration: \"settings\" is missing or not an object");
@@ -152,7 +154,8 @@
   std::ifstream file(path);
   std::ostringstream text;
   if (!file || !(text << file.rdbuf())) throw BadConfig("configuration: cannot read " + path);
-  return ReadConfig(text.str(), Variable("PROXY_NAME"), Variable("PROXY_LISTEN"), discovery);
+  return ReadConfig(text.str(), Variable("PROXY_NAME"), Variable("PROXY_LISTEN"), discovery,
+                    Variable("PROXY_ADMIN_ADDR"));
 }
 
 }  // namespace
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -21,6 +21,7 @@
 
 struct Config {
   std::string name, listen, discovery;  // addresses are "a.b.c.d:port"
+  std::string admin;                    // the operators' door; empty: there is none
   std::uint64_t seed = 0;
   SettingsRead settings;
   MachineList known;
@@ -29,7 +30,7 @@
 
 // From the text of the file; the variables, where not empty, go before what the file says.
 Config ReadConfig(std::string_view json, std::string_view name, std::string_view listen,
-                  std::string_view discovery);
+                  std::string_view discovery, std::string_view admin = {});
 
 // From the environment: PROXY_CONFIG names the file.
 Config LoadConfig();
--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -29,6 +29,7 @@
   std::size_t resting_again = 120;  // the same, of those that have returned from a rest before
   std::size_t claim_conns = 480;    // connections to machines, idle ones included
   int max_attempts = 1;             // claims of one job
+  std::size_t door_callers = 16;    // connections to the operators' door; the oldest makes way
 
   // Times.
   Duration connect{std::chrono::milliseconds(200)};
@@ -49,9 +50,12 @@
   Duration longest_wait{std::chrono::seconds(60)};  // of any job
   Duration watch{std::chrono::milliseconds(4000)};  // discovery may hold a watch this long
   Duration call_grace{
-      std::chrono::milliseconds(1500)};             // and this long beyond it before it counts as silent
-  Duration linger{std::chrono::milliseconds(500)};  // after SIGTERM, before the listener closes
-  Duration max_retry_after{0};                      // 0: submitters are not told when to come back
+      std::chrono::milliseconds(1500)};                // and this long beyond it before it counts as silent
+  Duration linger{std::chrono::milliseconds(500)};     // after SIGTERM, before the listener closes
+  Duration max_retry_after{0};                         // 0: submitters are not told when to come back
+  Duration door_call{std::chrono::milliseconds(500)};  // a door call is whole this soon after its accept
+  Duration door_linger{std::chrono::seconds(1)};       // and its caller takes the answer within this
+  Duration state_look{std::chrono::milliseconds(250)};  // how often the shared operator state is read
 };
 
 }  // namespace brasswood
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -37,7 +37,26 @@
       limits_(limits),
       now_(std::move(now)),
       deadlines_(deadlines),
-      counters_(counters) {}
+      counters_(counters) {
+  counters_.by_class.resize(settings.classes.size());
+}
+
+void Engine::CountClass(int job_class, AnswerKind kind) {
+  if (job_class < 0 || static_cast<std::size_t>(job_class) >= counters_.by_class.size()) return;
+  auto& c = counters_.by_class[static_cast<std::size_t>(job_class)];
+  switch (kind) {
+    case AnswerKind::kValue:
+    case AnswerKind::kReceipt:
+      ++c.passed;
+      break;
+    case AnswerKind::kRefused:
+      ++c.dropped;
+      break;
+    case AnswerKind::kFailed:
+      ++c.bad_gateway;
+      break;
+  }
+}
 
 void Engine::Attach(Back& execute_nodes, Back& origin, Watch& watch) {
   nodes_ = &execute_nodes;
@@ -76,6 +95,7 @@
 JobId Engine::Take(Front& front, std::uint64_t ticket, NewJob job) {
   if (jobs_.size() >= limits_.jobs) {
     ++counters_.turned_away;
+    CountClass(job.job_class, AnswerKind::kRefused);  // its front refuses it
     return 0;
   }
   const Duration wait = std::clamp(job.wait, Duration(0), limits_.longest_wait);
@@ -91,7 +111,8 @@
   // claim that times out with its job would look to it like one worth another attempt.
   const Time now = now_();
   by_id_.insert(job.content->id);
-  const JobId id = jobs_.Add({&front, ticket, std::move(job.content), now + wait, 0, false, {}, {}});
+  const JobId id =
+      jobs_.Add({&front, ticket, job.job_class, std::move(job.content), now + wait, 0, false, {}, {}});
   request.id = id;
   ++counters_.jobs_in;
   ++open_jobs_;
@@ -104,6 +125,7 @@
   if (job.ended) return;
   job.ended = true;
   --open_jobs_;
+  CountClass(job.job_class, answer.kind);
   switch (answer.kind) {
     case AnswerKind::kValue:
     case AnswerKind::kReceipt:
@@ -302,18 +324,21 @@
   beechledge::ServerList told;
   told.kind = kind;
   std::vector<bool> named(machines_.size());
-  for (const MachineEntry& entry : list.entries) {
+  for (const MachineEntry& listed : list.entries) {
     const bool reuse = !unused_.empty();
     const auto [it, fresh] =
-        by_uid_.emplace(entry.uid, reuse ? unused_.back() : static_cast<MachineId>(machines_.size()));
+        by_uid_.emplace(listed.uid, reuse ? unused_.back() : static_cast<MachineId>(machines_.size()));
     const MachineId id = it->second;
     if (fresh && reuse) {
       unused_.pop_back();
     } else if (fresh) {
       machines_.emplace_back();
+      told_.emplace_back();
       named.push_back(false);
     }
     named[id] = true;
+    told_[id] = listed;
+    const MachineEntry entry = Effective(listed);
     Machine& m = machines_[id];
     // Kept connections lead to where it was, or to the process that it was.
     const bool moved = !fresh && (m.endpoint != entry.endpoint || m.started != entry.started);
@@ -354,6 +379,57 @@
   Retire();
 }
 
+// ---- What operators say ----
+
+MachineEntry Engine::Effective(const MachineEntry& told) const {
+  MachineEntry e = told;
+  if (suspended_.contains(e.uid) && e.availability == Availability::kUp) {
+    e.availability = Availability::kDraining;
+  }
+  // Guards against a restart that discovery does not tell, or tells late: what the machine held is gone,
+  // and the module is to treat it as cold from the resume.
+  if (const auto it = resumed_.find(e.uid); it != resumed_.end())
+    e.started = std::max(e.started, it->second);
+  return e;
+}
+
+void Engine::Retell(MachineId id) {
+  MachineList changed;
+  changed.all = false;
+  changed.entries.push_back(told_[id]);
+  Take(changed, ListKind::kChanges);
+}
+
+bool Engine::Suspend(const std::string& uid, bool any) {
+  const auto it = by_uid_.find(uid);
+  if (it == by_uid_.end() && !any) return false;
+  if (!suspended_.insert(uid).second) return true;
+  LogLine(Level::kInfo) << "machine " << uid << " suspended by hand";
+  if (it != by_uid_.end()) Retell(it->second);
+  return true;
+}
+
+bool Engine::Resume(const std::string& uid, bool any) {
+  const auto it = by_uid_.find(uid);
+  if (it == by_uid_.end() && !any && !suspended_.contains(uid)) return false;
+  if (suspended_.erase(uid) == 0) return true;
+  LogLine(Level::kInfo) << "machine " << uid << " resumed by hand; it counts as started now";
+  resumed_[uid] = now_();
+  if (it != by_uid_.end()) Retell(it->second);
+  return true;
+}
+
+Engine::Census Engine::Count() const {
+  Census c;
+  for (const Machine& m : machines_) {
+    if (m.uid.empty() || m.origin || m.availability == Availability::kRemoved) continue;
+    ++c.known;
+    c.skipped += suspended_.contains(m.uid);
+  }
+  c.skipped += balancer_.Avoided();
+  return c;
+}
+
 // Guards against tables that only grow: where machines are replaced all day, the gone ones would stay in
 // memory and in every loop over machines. One is forgotten, and its number free for another, once it has
 // been gone for a while and neither an open job nor a claim or probe refers to it.
@@ -373,7 +449,9 @@
     if (!gone[id]) continue;
     BackOf(id).Forget(id);
     by_uid_.erase(machines_[id].uid);
+    resumed_.erase(machines_[id].uid);
     machines_[id] = {};
+    told_[id] = {};
     unused_.push_back(id);
   }
 }
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <functional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -48,6 +49,21 @@
   void Told(const MachineList& list);
   void ListRefused();
 
+  // From operators. A suspended machine is told to the module as draining, whatever discovery says, until
+  // it is resumed; from then it counts as started at that moment, since operators restart it meanwhile. A
+  // flag, not a count: one resume undoes any number of suspends. False: no machine of that uid is known,
+  // unless `any` (state kept from before this process) lets a uid that is not listed yet be taken too.
+  bool Suspend(const std::string& uid, bool any = false);
+  bool Resume(const std::string& uid, bool any = false);
+  const std::set<std::string>& suspended() const { return suspended_; }
+
+  // Execute nodes in the list (in service or terminating), and those of them avoided by hand or by the
+  // module's choice.
+  struct Census {
+    std::size_t known = 0, skipped = 0;
+  };
+  Census Count() const;
+
   bool ready() const { return ready_; }
   std::size_t open_jobs() const { return open_jobs_; }
 
@@ -55,6 +71,7 @@
   struct Job {
     Front* front = nullptr;
     std::uint64_t ticket = 0;
+    int job_class = -1;
     std::shared_ptr<const JobContent> content;
     Time deadline{0};
     int attempts = 0;
@@ -92,6 +109,10 @@
   void Retire();
   Back& BackOf(MachineId id) { return *(machines_[id].origin ? origin_ : nodes_); }
   void Take(const MachineList& list, beechledge::ListKind kind);
+  // The entry as the module is told it: discovery's, with what operators said laid over it.
+  MachineEntry Effective(const MachineEntry& told) const;
+  void Retell(MachineId id);
+  void CountClass(int job_class, AnswerKind kind);
 
   beechledge::Settings settings_;
   beechledge::Balancer balancer_;
@@ -105,8 +126,11 @@
 
   Slots<Job> jobs_;
   Slots<Claim> claims_;
-  std::vector<Machine> machines_;  // by MachineId
-  std::vector<MachineId> unused_;  // numbers of machines that were forgotten
+  std::vector<Machine> machines_;   // by MachineId
+  std::vector<MachineEntry> told_;  // by MachineId: as discovery last told it
+  std::set<std::string> suspended_;
+  std::unordered_map<std::string, Time> resumed_;  // by uid: when operators last put it back
+  std::vector<MachineId> unused_;                  // numbers of machines that were forgotten
   std::unordered_map<std::string, MachineId> by_uid_;
   std::unordered_set<std::string> by_id_;  // the ids of the jobs in the table
   struct Queued {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,12 +4,15 @@
 #include <exception>
 #include <iostream>
 
+#include "admin/operator.h"
+#include "admin/state_file.h"
 #include "base/counters.h"
 #include "base/log.h"
 #include "config/config.h"
 #include "core/engine.h"
 #include "net/claim_pool.h"
 #include "net/discovery_watch.h"
+#include "net/door.h"
 #include "net/loop.h"
 #include "net/submitter_front.h"
 
@@ -29,6 +32,16 @@
   OriginClient origin(loop, engine, limits, counters, budget);
   DiscoveryWatch watch(loop, engine, limits, names, config.discovery, config.known.rev);
   engine.Attach(nodes, origin, watch);
+  SubmitterFront* front_at = nullptr;  // the front listens last, once all that it needs is there
+  FrontHooks hooks{[&front_at] { return front_at != nullptr && front_at->Ready(); },
+                   [&front_at](bool on) {
+                     if (front_at != nullptr) front_at->SendAway(on);
+                   }};
+  // Operator state is kept only where there is a door to say it: older deployments have neither.
+  Operator operations(
+      engine, counters, names, hooks,
+      config.admin.empty() ? nullptr : std::make_unique<StateFile>(StateDirectory(), config.name));
+  operations.Restore();
   engine.Remember(config.known);
   // Guards against a restart for a new configuration: open jobs and the listener stay as they are. What a
   // router cannot change while it serves (its address, limits, settings) waits for its next start.
@@ -42,6 +55,15 @@
     }
   });
   SubmitterFront front(loop, engine, limits, names, counters, config.listen);
+  front_at = &front;
+  std::unique_ptr<Door> door;
+  if (!config.admin.empty()) {
+    door = std::make_unique<Door>(loop, limits, config.admin, operations);
+    operations.Follow(
+        loop.deadlines(), [&loop] { return loop.Now(); }, limits.state_look);
+    LogLine(Level::kInfo) << "operators' door on " << config.admin.substr(0, config.admin.rfind(':') + 1)
+                          << door->port();
+  }
   loop.OnSignal(SIGUSR1, [&] {
     LogLine(Level::kInfo) << counters << "; now open: jobs=" << engine.open_jobs()
                           << " submitters=" << front.submitters() << " machine_connections=" << budget.open;
--- a/src/net/claim_pool.cpp
+++ b/src/net/claim_pool.cpp
@@ -101,7 +101,10 @@
         auto* at = static_cast<Connection*>(p);
         at->pool->OnRead(*at);
       },
-      nullptr,
+      [](bufferevent*, void* p) {
+        auto* at = static_cast<Connection*>(p);
+        at->pool->OnWritten(*at);
+      },
       [](bufferevent*, short what, void* p) {
         auto* at = static_cast<Connection*>(p);
         at->pool->OnEvent(*at, what);
@@ -136,9 +139,17 @@
   }
   const std::string text = Write(c.errand, *machine, c.errand.until - loop_.Now());
   c.written = true;
+  c.counted = false;
   bufferevent_write(c.buffer.get(), text.data(), text.size());
 }
 
+// The output has gone to the kernel whole: the claim counts as an attempt from here.
+void ClaimPool::OnWritten(Connection& c) {
+  if (!c.written || c.counted || !c.errand.job || !CountsTries()) return;
+  c.counted = true;
+  ++counters_.upstream_tries;
+}
+
 void ClaimPool::OnEvent(Connection& c, short what) {
   if (what & BEV_EVENT_CONNECTED) {
     c.up = true;
--- a/src/net/claim_pool.h
+++ b/src/net/claim_pool.h
@@ -47,6 +47,8 @@
   virtual Parsed Parse(std::string_view in, const Errand& errand, std::size_t& used, ClaimEnd& end,
                        bool& keep) const = 0;
   const Limits& limits() const { return limits_; }
+  // Does a claim written whole count among the figure's upstream tries? Those to execute nodes do.
+  virtual bool CountsTries() const { return false; }
 
  private:
   struct Connection;
@@ -59,6 +61,7 @@
     BufferPtr buffer;
     bool up = false;
     bool written = false;  // the errand's bytes are in the buffer, or gone
+    bool counted = false;  // its last byte has left, and the figures know
     bool idle = false;
     Time rested{0};  // since when, if idle
     Errand errand;
@@ -69,6 +72,7 @@
   bool Connect(Connection& c, const Machine& machine);
   void WriteErrand(Connection& c);
   void OnRead(Connection& c);
+  void OnWritten(Connection& c);
   Connection* Rested(MachineId machine);
   void AwaitRest(Connection& c, Duration wait);
   void OnEvent(Connection& c, short what);
@@ -95,6 +99,7 @@
   using ClaimPool::ClaimPool;
 
  private:
+  bool CountsTries() const override { return true; }
   std::string Write(const Errand& errand, const Machine& machine, Duration left) const override;
   Parsed Parse(std::string_view in, const Errand& errand, std::size_t& used, ClaimEnd& end,
                bool& keep) const override;
--- a/src/net/submitter_front.cpp
+++ b/src/net/submitter_front.cpp
@@ -33,8 +33,8 @@
       [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
         static_cast<SubmitterFront*>(self)->Accept(fd);
       },
-      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, 1024,
-      reinterpret_cast<const sockaddr*>(&*at), sizeof *at));
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_REUSEABLE_PORT | LEV_OPT_CLOSE_ON_EXEC,
+      1024, reinterpret_cast<const sockaddr*>(&*at), sizeof *at));
   if (!listener_) throw std::runtime_error("cannot listen on " + address + ": " + std::strerror(errno));
   evconnlistener_set_error_cb(listener_.get(), [](evconnlistener*, void* self) {
     // Out of descriptors: the waiting connection stays readable.
@@ -179,7 +179,7 @@
         Begin(s, std::move(command.content));
         break;
       case Verb::kNoop:
-        Reply(s, engine_.ready() ? "MN\r\n" : "SERVER_ERROR not ready\r\n");
+        Reply(s, Welcoming() ? "MN\r\n" : "SERVER_ERROR not ready\r\n");
         break;
       case Verb::kQuit:
         s.closing = true;
@@ -249,7 +249,7 @@
     s.pending.pop_front();
     ++s.first;
   }
-  if ((s.paused || s.closing || draining_) && !s.woken) {
+  if ((s.paused || s.closing || draining_ || sending_away_) && !s.woken) {
     s.woken = true;
     loop_.deadlines().Set(Time(0), [this, id = s.id] { Wake(id); });
   }
@@ -268,7 +268,11 @@
   if (s.closing) return HangUp(s);
   // While draining, a connection closes once it has fallen idle; a new one is first let speak. (libevent
   // reports a fresh connection's empty output as written, which used to close it before its first command.)
-  if (draining_ && s.used && Idle(s)) return Close(id);
+  // Guards against a close that crosses a command in the kernel: it would be reset, and the answers on
+  // their way with it. That command is read and answered first.
+  if ((draining_ || sending_away_) && s.used && Idle(s) && !Unread(bufferevent_getfd(s.buffer.get()))) {
+    return Close(id);
+  }
   Await(s);
 }
 
@@ -391,6 +395,15 @@
   }
 }
 
+void SubmitterFront::SendAway(bool on) {
+  if (sending_away_ == on) return;
+  sending_away_ = on;
+  if (!on) return;
+  std::vector<std::uint64_t> all;
+  submitters_.Each([&](std::uint64_t id, auto&) { all.push_back(id); });
+  for (const std::uint64_t id : all) Wake(id);
+}
+
 void SubmitterFront::Drain(std::function<void()> done) {
   if (draining_) return;
   draining_ = true;
--- a/src/net/submitter_front.h
+++ b/src/net/submitter_front.h
@@ -32,6 +32,15 @@
   // nothing is left to answer.
   void Drain(std::function<void()> done);
 
+  // Operators' drain: `mn` is answered as not ready, and each connection closes once it has fallen idle,
+  // its answers out and nothing more sent; new ones are still taken and served alike. Off again: as before.
+  void SendAway(bool on);
+  // Does `mn` say yes? Not while sending away. (After SIGTERM it does for the half second that the
+  // listener stays open, as before the door: the front moves on by the process's end.)
+  bool Welcoming() const { return !sending_away_ && engine_.ready(); }
+  // Is this process ready to serve? Not while sending away, nor once SIGTERM came.
+  bool Ready() const { return Welcoming() && !draining_; }
+
   std::size_t submitters() const { return submitters_.size(); }
   std::uint16_t port() const;  // that it listens on
 
@@ -108,6 +117,7 @@
   Slots<Ticket> tickets_;
   RestQueue once_, again_;  // by whether they have returned from a rest before
   bool draining_ = false, listener_closed_ = false;
+  bool sending_away_ = false;
   std::function<void()> drained_;
 };
 
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -247,3 +247,55 @@
   CHECK_FALSE(w.engine->MayWrite(0));
   CHECK(w.engine->MayWrite(1));
 }
+
+TEST_CASE("a machine suspended by hand drains whatever discovery says, until one resume") {
+  World w;
+  CHECK_FALSE(w.engine->Suspend("nobody"));  // no such machine: a no
+  CHECK_FALSE(w.engine->Resume("nobody"));
+  REQUIRE(w.engine->Suspend("s1"));
+  REQUIRE(w.engine->Suspend("s1"));  // twice out
+  CHECK(w.engine->FindMachine(0)->availability == Availability::kDraining);
+  w.now += 501ms;
+  CHECK_FALSE(w.engine->MayWrite(0));
+  MachineList again;  // discovery lists it in service all the same
+  again.entries.push_back({"s1", "127.0.0.1:1", 0, 0, 0, Availability::kUp, 1, 0s});
+  again.entries.push_back({"s2", "127.0.0.1:1", 0, 0, 0, Availability::kUp, 1, 0s});
+  w.engine->Told(again);
+  CHECK(w.engine->FindMachine(0)->availability == Availability::kDraining);
+  for (std::uint64_t t = 1; t <= 6; ++t) w.Take(t);  // all of them go to the other one
+  for (const auto& [claim, to] : w.ends.claims) CHECK(to == 1);
+  CHECK(w.engine->Count().known == 2);
+  CHECK(w.engine->Count().skipped == 1);
+  const Time resumed = w.now;
+  REQUIRE(w.engine->Resume("s1"));  // once back undoes both
+  CHECK(w.engine->FindMachine(0)->availability == Availability::kUp);
+  CHECK(w.engine->FindMachine(0)->started >= resumed);  // it was restarted meanwhile: cold
+  w.engine->Told(again);  // a list that still has the old boot time leaves it cold
+  CHECK(w.engine->FindMachine(0)->started >= resumed);
+  CHECK(w.engine->Count().skipped == 0);
+  CHECK(w.engine->suspended().empty());
+}
+
+TEST_CASE("a suspension kept from an earlier process holds for a machine not yet listed") {
+  World w;
+  REQUIRE(w.engine->Suspend("later", true));
+  MachineList news;
+  news.all = false;
+  news.entries.push_back({"later", "127.0.0.1:1", 0, 0, 0, Availability::kUp, 1, 0s});
+  w.engine->Told(news);
+  CHECK(w.engine->FindMachine(2)->availability == Availability::kDraining);
+}
+
+TEST_CASE("the figures count each class's answers and the jobs in progress") {
+  World w;
+  w.Take(1);
+  REQUIRE(w.ends.claims.size() == 1);
+  w.engine->ClaimEnded(w.ends.claims[0].first, {Result::kOk, {}, {}, "v"});
+  w.Take(2, 1);
+  CHECK(w.engine->open_jobs() == 1);
+  w.To(200s);  // it is never answered: failed or refused
+  CHECK(w.counters.by_class[0].passed == 1);
+  CHECK(w.counters.by_class[1].passed == 0);
+  CHECK(w.counters.by_class[1].dropped + w.counters.by_class[1].bad_gateway == 1);
+  CHECK(w.engine->open_jobs() == 0);
+}
--- /dev/null
+++ b/tests/net/door_test.cpp
@@ -0,0 +1,301 @@
+// The operators' door: its parser and calls without sockets, then the program's door on loopback.
+#include "protocol/door.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "admin/calls.h"
+#include "admin/figures.h"
+#include "admin/operator_state.h"
+#include "world.h"
+
+using namespace brasswood;
+using namespace brasswood::testing;
+
+TEST_CASE("door calls are read whole, however they are cut") {
+  const std::string call =
+      "POST /v1/cache-servers/s-1/suspend HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}";
+  for (std::size_t cut = 0; cut < call.size(); ++cut) {
+    std::size_t used = 0;
+    DoorCall got;
+    INFO("cut at " << cut);
+    CHECK(ParseDoorCall(std::string_view(call).substr(0, cut), {}, used, got) == Parsed::kMore);
+  }
+  std::size_t used = 0;
+  DoorCall got;
+  REQUIRE(ParseDoorCall(call, {}, used, got) == Parsed::kDone);
+  CHECK(used == call.size());
+  CHECK(got.method == "POST");
+  CHECK(got.path == "/v1/cache-servers/s-1/suspend");
+  REQUIRE(ParseDoorCall("GET /v1/metrics?x=1 HTTP/1.0\r\n\r\n", {}, used, got) == Parsed::kDone);
+  CHECK(got.path == "/v1/metrics");
+}
+
+TEST_CASE("bad door calls are owed a clear no at once") {
+  const struct {
+    std::string text;
+    int status;
+  } cases[] = {
+      {"\x16\x03\x01 hello", 400},                           // not HTTP at all
+      {"GET\r\n\r\n", 400},                                  // no target
+      {"GET /v1/readyz HTTP/2.0\r\n\r\n", 505},              // another version
+      {"GET v1/readyz HTTP/1.1\r\n\r\n", 400},               // not a path
+      {"GET /v1/readyz HTTP/1.1\r\nno colon\r\n\r\n", 400},  // a broken field
+      {"POST /v1/router/drain HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400},
+      {"POST /v1/router/drain HTTP/1.1\r\nContent-Length: 999999\r\n\r\n", 413},
+      {"POST /v1/router/drain HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 501},
+      {"GET /" + std::string(9000, 'a'), 431},  // a head without end
+  };
+  for (const auto& c : cases) {
+    std::size_t used = 0;
+    DoorCall got;
+    INFO(c.text.substr(0, 60));
+    REQUIRE(ParseDoorCall(c.text, {}, used, got) == Parsed::kBad);
+    CHECK(got.status == c.status);
+    CHECK_FALSE(got.error.empty());
+  }
+}
+
+TEST_CASE("door paths: exact, with their methods") {
+  const struct {
+    const char *method, *path;
+    int status;
+    CallKind kind;
+    const char* id;
+  } cases[] = {
+      {"GET", "/v1/readyz", 0, CallKind::kReady, ""},
+      {"GET", "/v1/metrics", 0, CallKind::kMetrics, ""},
+      {"POST", "/v1/cache-servers/s-5be2a07c/suspend", 0, CallKind::kSuspend, "s-5be2a07c"},
+      {"POST", "/v1/cache-servers/s-5be2a07c/resume", 0, CallKind::kResume, "s-5be2a07c"},
+      {"POST", "/v1/router/drain", 0, CallKind::kDrain, ""},
+      {"POST", "/v1/router/activate", 0, CallKind::kActivate, ""},
+      {"POST", "/v1/readyz", 405, CallKind::kReady, ""},
+      {"GET", "/v1/router/drain", 405, CallKind::kDrain, ""},
+      {"get", "/v1/readyz", 405, CallKind::kReady, ""},  // methods are case-sensitive
+      {"GET", "/v1/readyz/", 404, CallKind::kReady, ""},
+      {"GET", "/readyz", 404, CallKind::kReady, ""},
+      {"POST", "/v1/cache-servers//suspend", 404, CallKind::kReady, ""},
+      {"POST", "/v1/cache-servers/a/b/suspend", 404, CallKind::kReady, ""},
+      {"POST", "/v1/cache-servers/s-1/restart", 404, CallKind::kReady, ""},
+  };
+  for (const auto& c : cases) {
+    INFO(c.method << ' ' << c.path);
+    const Route r = Resolve(c.method, c.path);
+    CHECK(r.status == c.status);
+    if (c.status != 404) CHECK(r.kind == c.kind);
+    if (c.status == 0) CHECK(r.id == c.id);
+  }
+}
+
+TEST_CASE("figures are lines of name, value and type") {
+  Figures f;
+  f.classes = {{"get-tarball", 812, 3, 1}, {"publish", 0, 0, 0}};
+  f.upstream_tries = 900;
+  f.in_progress = 14;
+  f.known_cache_servers = 9;
+  f.skipped_cache_servers = 1;
+  CHECK(Render(f) ==
+        "router.passed.get-tarball:812|c\nrouter.dropped.get-tarball:3|c\nrouter.bad_gateway.get-tarball:1|"
+        "c\n"
+        "router.passed.publish:0|c\nrouter.dropped.publish:0|c\nrouter.bad_gateway.publish:0|c\n"
+        "router.upstream_tries:900|c\nrouter.in_progress:14|g\nrouter.known_cache_servers:9|g\n"
+        "router.skipped_cache_servers:1|g\n");
+}
+
+TEST_CASE("operator state survives its text form, and a torn or foreign file is refused") {
+  OperatorState state;
+  state.suspended = {"s-1", "s-2"};
+  const std::string text = Encode(state);
+  CHECK(Decode(text) == state);
+  CHECK(Decode(Encode({})) == OperatorState{});
+  for (std::size_t cut = 0; cut < text.size(); ++cut) {
+    INFO("cut at " << cut);
+    CHECK_FALSE(Decode(text.substr(0, cut)));
+  }
+  CHECK_FALSE(Decode("brasswood operator state 2\nend\n"));
+  CHECK_FALSE(Decode("brasswood operator state 1\nbanned s-1\nend\n"));
+  CHECK_FALSE(Decode(text + "suspended s-3\n"));
+}
+
+// ---- The program's door ----
+
+namespace {
+
+std::string Call(const std::string& door, const std::string& text) {
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  at.sin_port = htons(static_cast<std::uint16_t>(std::stoi(door.substr(door.rfind(':') + 1))));
+  REQUIRE(::connect(fd.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+  fd.Write(text);
+  std::string all;
+  for (std::string part = fd.Until("\n"); !part.empty(); part = fd.Until("\n")) all += part;
+  return all;
+}
+std::string Get(const std::string& door, const std::string& path) {
+  return Call(door, "GET " + path + " HTTP/1.1\r\nHost: r\r\n\r\n");
+}
+std::string Post(const std::string& door, const std::string& path) {
+  return Call(door, "POST " + path + " HTTP/1.1\r\nHost: r\r\nContent-Length: 0\r\n\r\n");
+}
+int Status(const std::string& answer) { return answer.size() > 12 ? std::stoi(answer.substr(9, 3)) : 0; }
+
+struct DoorRouter {
+  Listener discovery, origin, nodes[2];
+  std::string dir;
+  Process process;
+  explicit DoorRouter(std::string state_dir = {}) : dir(std::move(state_dir)) {
+    if (dir.empty()) {
+      char path[] = "/tmp/brasswood-door-XXXXXX";
+      REQUIRE(::mkdtemp(path) != nullptr);
+      dir = path;
+    }
+    process = StartBeside();
+  }
+  Process StartBeside() const {
+    std::string config =
+        Router::Config(discovery.address(), Target("s0", nodes[0].address(), "in_service") + "," +
+                                                Target("s1", nodes[1].address(), "in_service") + "," +
+                                                Target("o1", origin.address(), "in_service", 0, "origin"));
+    config.insert(1, R"("admin_addr":"127.0.0.1:0",)");
+    return Start(config, discovery.address(), {"TMPDIR=" + dir});
+  }
+  Fd Connect(const Process& p) const {
+    Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    at.sin_port = htons(static_cast<std::uint16_t>(std::stoi(p.listen.substr(p.listen.rfind(':') + 1))));
+    REQUIRE(::connect(fd.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+    return fd;
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a router without admin_addr has no door") {
+  Router router("");
+  CHECK(router.process.door.empty());
+}
+
+TEST_CASE("the door: ready, figures after known traffic, unknown paths and methods") {
+  DoorRouter r;
+  REQUIRE_FALSE(r.process.door.empty());
+  CHECK(Status(Get(r.process.door, "/v1/readyz")) == 200);
+  CHECK(Status(Get(r.process.door, "/v1/nothing")) == 404);
+  CHECK(Status(Post(r.process.door, "/v1/metrics")) == 405);
+  CHECK(Status(Call(r.process.door, "BREW /v1/readyz HTTP/1.1\r\n\r\n")) == 405);
+  CHECK(Status(Call(r.process.door, "garbage\r\n\r\n")) == 400);
+  Fd submitter = r.Connect(r.process);
+  submitter.Write(Read("k", "a1"));
+  Fd claim = r.nodes[FirstCalled({&r.nodes[0], &r.nodes[1]})].Accept();
+  CHECK(claim.Line().starts_with("mg k v Oa1"));
+  const std::string during = Get(r.process.door, "/v1/metrics");
+  CHECK(during.find("router.in_progress:1|g\n") != std::string::npos);
+  CHECK(during.find("router.upstream_tries:1|c\n") != std::string::npos);
+  claim.Write("VA 1 Oa1\r\nx\r\n");
+  CHECK(submitter.Line() == "VA 1 Oa1\r\n");
+  CHECK(submitter.Line() == "x\r\n");
+  const std::string after = Get(r.process.door, "/v1/metrics");
+  CHECK(after.find("router.passed.read:1|c\n") != std::string::npos);
+  CHECK(after.find("router.passed.publish:0|c\n") != std::string::npos);
+  CHECK(after.find("router.in_progress:0|g\n") != std::string::npos);
+  CHECK(after.find("router.known_cache_servers:2|g\n") != std::string::npos);
+  CHECK(after.find("router.skipped_cache_servers:0|g\n") != std::string::npos);
+}
+
+TEST_CASE("the door answers while callers hold it silent or with half a call") {
+  DoorRouter r;
+  std::vector<Fd> silent;
+  for (int i = 0; i < 40; ++i) {  // more than it keeps
+    Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    at.sin_port =
+        htons(static_cast<std::uint16_t>(std::stoi(r.process.door.substr(r.process.door.rfind(':') + 1))));
+    REQUIRE(::connect(fd.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+    if (i % 2 == 1) fd.Write("GET /v1/rea");
+    silent.push_back(std::move(fd));
+  }
+  CHECK(Status(Get(r.process.door, "/v1/readyz")) == 200);
+  // The half call is told at its deadline, or closed to make way; it is never left hanging.
+  const std::string told = silent.back().Until("\r\n\r\n");
+  CHECK((told.empty() || Status(told) == 400));
+}
+
+TEST_CASE("suspend and resume by hand: unknown ids are a no, the suspended one gets nothing new") {
+  DoorRouter r;
+  CHECK(Status(Post(r.process.door, "/v1/cache-servers/s-nobody/suspend")) == 404);
+  CHECK(Status(Post(r.process.door, "/v1/cache-servers/s-nobody/resume")) == 404);
+  REQUIRE(Status(Post(r.process.door, "/v1/cache-servers/s0/suspend")) == 200);
+  REQUIRE(Status(Post(r.process.door, "/v1/cache-servers/s0/suspend")) == 200);
+  CHECK(Get(r.process.door, "/v1/metrics").find("router.skipped_cache_servers:1|g\n") != std::string::npos);
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));  // past the part of the grace
+  Fd submitter = r.Connect(r.process);
+  std::vector<Fd> claims;  // none is answered before all are out: each has a connection of its own
+  for (int i = 0; i < 4; ++i) {
+    submitter.Write(Read("key" + std::to_string(i), "a" + std::to_string(i)));
+    REQUIRE(FirstCalled({&r.nodes[0], &r.nodes[1]}) == 1);  // never the suspended one
+    claims.push_back(r.nodes[1].Accept());
+    CHECK(claims.back().Line().starts_with("mg key" + std::to_string(i)));
+  }
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = "a" + std::to_string(i);
+    claims[static_cast<std::size_t>(i)].Write("VA 1 O" + id + "\r\nx\r\n");
+    CHECK(submitter.Line() == "VA 1 O" + id + "\r\n");
+    CHECK(submitter.Line() == "x\r\n");
+  }
+  REQUIRE(Status(Post(r.process.door, "/v1/cache-servers/s0/resume")) == 200);  // one undoes both
+  CHECK(Get(r.process.door, "/v1/metrics").find("router.skipped_cache_servers:0|g\n") != std::string::npos);
+}
+
+TEST_CASE("a suspension holds over a replacement: the new process takes it from the shared state") {
+  DoorRouter r;
+  REQUIRE(Status(Post(r.process.door, "/v1/cache-servers/s1/suspend")) == 200);
+  Process second = r.StartBeside();  // same name, same TMPDIR, the clients' address its own
+  REQUIRE_FALSE(second.door.empty());
+  CHECK(Get(second.door, "/v1/metrics").find("router.skipped_cache_servers:1|g\n") != std::string::npos);
+  REQUIRE(Status(Post(second.door, "/v1/cache-servers/s1/resume")) == 200);
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));  // the old one reads it too
+  CHECK(Get(r.process.door, "/v1/metrics").find("router.skipped_cache_servers:0|g\n") != std::string::npos);
+}
+
+TEST_CASE("a torn state file is ignored with one line, and the router starts") {
+  char path[] = "/tmp/brasswood-door-XXXXXX";
+  REQUIRE(::mkdtemp(path) != nullptr);
+  std::ofstream(std::string(path) + "/brasswood-n1.operator")
+      << "brasswood operator state 1\nsuspended s0\n";
+  DoorRouter r(path);
+  REQUIRE_FALSE(r.process.door.empty());
+  CHECK(Get(r.process.door, "/v1/metrics").find("router.skipped_cache_servers:0|g\n") != std::string::npos);
+}
+
+TEST_CASE("drain by hand: mn says no, idle connections close, activate says yes again") {
+  DoorRouter r;
+  Fd idle = r.Connect(r.process);
+  idle.Write("mn\r\n");
+  CHECK(idle.Line() == "MN\r\n");
+  Fd busy = r.Connect(r.process);
+  busy.Write(Read("k", "b1"));
+  Fd claim = r.nodes[FirstCalled({&r.nodes[0], &r.nodes[1]})].Accept();
+  CHECK(claim.Line().starts_with("mg k v Ob1"));
+  REQUIRE(Status(Post(r.process.door, "/v1/router/drain")) == 200);
+  CHECK(Status(Get(r.process.door, "/v1/readyz")) == 503);
+  CHECK(idle.Ended());               // let go at once
+  claim.Write("VA 1 Ob1\r\nx\r\n");  // what was taken is answered, then the connection closes
+  CHECK(busy.Line() == "VA 1 Ob1\r\n");
+  CHECK(busy.Line() == "x\r\n");
+  CHECK(busy.Ended());
+  Fd probe = r.Connect(r.process);  // new ones are still served, and told no
+  probe.Write("mn\r\n");
+  CHECK(probe.Line().starts_with("SERVER_ERROR"));
+  REQUIRE(Status(Post(r.process.door, "/v1/router/activate")) == 200);
+  CHECK(Status(Get(r.process.door, "/v1/readyz")) == 200);
+  Fd again = r.Connect(r.process);
+  again.Write("mn\r\n");
+  CHECK(again.Line() == "MN\r\n");
+}
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -144,17 +144,20 @@
   pid_t pid = -1;
   Fd err;
   std::string listen;  // where it serves
+  std::string door;    // where its operators' door is, if it has one
   std::string path;    // of its configuration
   Process() = default;
   Process(Process&& o) noexcept
       : pid(std::exchange(o.pid, -1)),
         err(std::move(o.err)),
         listen(std::move(o.listen)),
+        door(std::move(o.door)),
         path(std::exchange(o.path, {})) {}
   Process& operator=(Process&& o) noexcept {
     std::swap(pid, o.pid);
     std::swap(err, o.err);
     std::swap(listen, o.listen);
+    std::swap(door, o.door);
     std::swap(path, o.path);
     return *this;
   }
@@ -175,7 +178,9 @@
   }
 };
 
-inline Process Start(const std::string& config, const std::string& discovery = "") {
+// `more`: further variables, "NAME=value".
+inline Process Start(const std::string& config, const std::string& discovery = "",
+                     const std::vector<std::string>& more = {}) {
   char path[] = "/tmp/brasswood-test-XXXXXX";
   const int file = ::mkstemp(path);
   REQUIRE(file >= 0);
@@ -190,13 +195,18 @@
   if (p.pid == 0) {
     ::dup2(err[1], 2);
     char* const argv[] = {const_cast<char*>("brasswood"), nullptr};
-    char* const env[] = {const_cast<char*>(variable.c_str()), const_cast<char*>(start.c_str()), nullptr};
-    ::execve(BRASSWOOD_PROGRAM, argv, env);
+    std::vector<char*> env = {const_cast<char*>(variable.c_str()), const_cast<char*>(start.c_str())};
+    for (const std::string& v : more) env.push_back(const_cast<char*>(v.c_str()));
+    env.push_back(nullptr);
+    ::execve(BRASSWOOD_PROGRAM, argv, env.data());
     ::_exit(127);
   }
   ::close(err[1]);
   p.err = Fd(err[0]);
   for (std::string line = p.err.Until("\n"); !line.empty(); line = p.err.Until("\n")) {
+    if (const std::size_t door = line.find("operators' door on "); door != line.npos) {
+      p.door = line.substr(door + 19, line.size() - door - 20);
+    }
     const std::size_t at = line.find("listens on ");
     if (at != line.npos) {
       p.listen = line.substr(at + 11, line.size() - at - 12);
