Share one router's descriptor limits between the two processes of a replacement

Checked: the kill is at the overlap (log: the second process starts, then the crash, 95 lost).

Design: each process renews a mark under the shared TMPDIR (live_marks), and Shared(limits, n) gives each of n live processes its part of connections, submitters and jobs; idle ones past it close. Road not taken: halving the tables whenever a door is configured, which would cost every hour of service for the seconds of a replacement; and handing the listener over by descriptor passing, which needs a Unix socket, refused here.

Tests: Shared() bounds, live marks counted and gone stale.

--- a/src/admin/operator.cpp
+++ b/src/admin/operator.cpp
@@ -8,14 +8,26 @@
 namespace brasswood {
 
 Operator::Operator(Engine& engine, const Counters& counters, const Names& names, FrontHooks front,
-                   std::unique_ptr<StateFile> file)
+                   std::unique_ptr<StateFile> file, std::unique_ptr<LiveMarks> marks)
     : engine_(engine),
       counters_(counters),
       names_(names),
       front_(std::move(front)),
-      file_(std::move(file)) {}
+      file_(std::move(file)),
+      marks_(std::move(marks)) {}
+
+void Operator::Count() {
+  if (!marks_) return;
+  const std::size_t alive = marks_->Beat();
+  if (alive == processes_) return;
+  LogLine(Level::kInfo) << alive
+                        << " processes of this router are alive: each takes its share of the limits";
+  processes_ = alive;
+  if (front_.share) front_.share(alive);
+}
 
 void Operator::Restore() {
+  Count();
   if (!file_) return;
   std::string why;
   const auto state = file_->Read(why);
@@ -42,6 +54,8 @@
 // serves, or the other way round. What the file says wins; only changes are carried out.
 void Operator::Look() {
   deadlines_->Set(now_() + every_, [this] { Look(); });
+  Count();
+  Count();
   std::string why;
   const auto state = file_->Read(why);
   if (!state) {
--- a/src/admin/operator.h
+++ b/src/admin/operator.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "admin/calls.h"
+#include "admin/live_marks.h"
 #include "admin/state_file.h"
 #include "base/counters.h"
 #include "config/limits.h"
@@ -20,15 +21,16 @@
 namespace brasswood {
 
 struct FrontHooks {
-  std::function<bool()> ready;          // is the process ready to serve?
-  std::function<void(bool)> send_away;  // the drain on or off
+  std::function<bool()> ready;             // is the process ready to serve?
+  std::function<void(bool)> send_away;     // the drain on or off
+  std::function<void(std::size_t)> share;  // this many processes of the router are alive now
 };
 
 class Operator : public Operations {
  public:
   // `file` may be null: then nothing is kept beyond this process. All references outlive the operator.
   Operator(Engine& engine, const Counters& counters, const Names& names, FrontHooks front,
-           std::unique_ptr<StateFile> file);
+           std::unique_ptr<StateFile> file, std::unique_ptr<LiveMarks> marks = nullptr);
 
   // Takes over what the file holds; before the first list, so that no claim goes to a banned machine.
   void Restore();
@@ -45,12 +47,15 @@
  private:
   void Save();
   void Look();
+  void Count();
 
   Engine& engine_;
   const Counters& counters_;
   const Names& names_;
   FrontHooks front_;
   std::unique_ptr<StateFile> file_;
+  std::unique_ptr<LiveMarks> marks_;
+  std::size_t processes_ = 1;
   std::string last_read_;  // what was said of the file the last time: so it is said once
   Deadlines* deadlines_ = nullptr;
   std::function<Time()> now_;
--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -2,6 +2,7 @@
 #ifndef BRASSWOOD_CONFIG_LIMITS_H_
 #define BRASSWOOD_CONFIG_LIMITS_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 
@@ -56,8 +57,27 @@
   Duration door_call{std::chrono::milliseconds(500)};  // a door call is whole this soon after its accept
   Duration door_linger{std::chrono::seconds(1)};       // and its caller takes the answer within this
   Duration state_look{std::chrono::milliseconds(250)};  // how often the shared operator state is read
+  std::chrono::milliseconds live_stale{1000};           // a process mark not renewed this long: it has gone
 };
 
+// The part of `whole` that one of `processes` processes of one router may hold, where they share one
+// router's limits on descriptors (a replacement: the old process and the new one side by side). Guards
+// against the two together holding more sockets than one may: each takes its share of connections to
+// machines and of submitters, and of jobs no more than those let it answer. Times and sizes stay.
+inline Limits Shared(const Limits& whole, std::size_t processes) {
+  if (processes <= 1) return whole;
+  Limits part = whole;
+  const auto share = [&](std::size_t n, std::size_t least) { return std::max(least, n / processes); };
+  part.claim_conns = share(whole.claim_conns, 4);
+  part.submitters = share(whole.submitters, 4);
+  part.resting = std::min(whole.resting, part.submitters);
+  part.resting_again = std::min(whole.resting_again, part.submitters);
+  part.jobs = std::min(whole.jobs,
+                       std::max<std::size_t>(1, std::min(part.claim_conns, part.submitters) * 95 / 100));
+  part.pipeline = std::min(whole.pipeline, std::max<std::size_t>(4, part.jobs / 4));
+  return part;
+}
+
 }  // namespace brasswood
 
 #endif  // BRASSWOOD_CONFIG_LIMITS_H_
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -22,7 +22,9 @@
   using namespace brasswood;
   Loop loop;
   Counters counters;
-  const Limits& limits = config.limits;
+  // What one process may hold; `limits`, which all parts read, is its share while a replacement runs.
+  const Limits whole = config.limits;
+  Limits limits = whole;
   const Names& names = config.settings.names;
   Engine engine(
       config.settings.module, config.seed, limits, [&loop] { return loop.Now(); }, loop.deadlines(),
@@ -36,11 +38,18 @@
   FrontHooks hooks{[&front_at] { return front_at != nullptr && front_at->Ready(); },
                    [&front_at](bool on) {
                      if (front_at != nullptr) front_at->SendAway(on);
+                   },
+                   [&](std::size_t processes) {
+                     limits = Shared(whole, processes);
+                     nodes.Trim();
+                     if (front_at != nullptr) front_at->Reshare();
                    }};
   // Operator state is kept only where there is a door to say it: older deployments have neither.
+  const bool door_here = !config.admin.empty();
   Operator operations(
       engine, counters, names, hooks,
-      config.admin.empty() ? nullptr : std::make_unique<StateFile>(StateDirectory(), config.name));
+      door_here ? std::make_unique<StateFile>(StateDirectory(), config.name) : nullptr,
+      door_here ? std::make_unique<LiveMarks>(StateDirectory(), config.name, limits.live_stale) : nullptr);
   operations.Restore();
   engine.Remember(config.known);
   // Guards against a restart for a new configuration: open jobs and the listener stay as they are. What a
--- a/src/net/claim_pool.cpp
+++ b/src/net/claim_pool.cpp
@@ -266,6 +266,13 @@
                      [](ClaimPool* pool) { return pool->DropIdle(); });
 }
 
+void ClaimPool::Trim() {
+  while (budget_.open > limits_.claim_conns &&
+         std::any_of(budget_.pools.begin(), budget_.pools.end(),
+                     [](ClaimPool* pool) { return pool->DropIdle(); })) {
+  }
+}
+
 bool ClaimPool::DropIdle() {
   for (auto& [machine, idle] : idle_) {
     if (idle.empty()) continue;
--- a/src/net/claim_pool.h
+++ b/src/net/claim_pool.h
@@ -34,6 +34,8 @@
   bool Abandon(ClaimId claim) override;
   void CloseIdle(MachineId machine) override;
   void Forget(MachineId machine) override;
+  // Closes idle connections of all pools until the budget is kept, where the limit has fallen.
+  void Trim();
 
  protected:
   struct Errand {  // what a connection is on
--- a/src/net/submitter_front.cpp
+++ b/src/net/submitter_front.cpp
@@ -395,6 +395,18 @@
   }
 }
 
+void SubmitterFront::Reshare() {
+  once_.most = limits_.resting;
+  again_.most = limits_.resting_again;
+  if (once_.trim == Deadlines::Id()) Trim(once_);
+  if (again_.trim == Deadlines::Id()) Trim(again_);
+  for (std::size_t before = submitters_.size() + 1;
+       submitters_.size() > limits_.submitters && submitters_.size() < before;) {
+    before = submitters_.size();
+    MakeRoom();
+  }
+}
+
 void SubmitterFront::SendAway(bool on) {
   if (sending_away_ == on) return;
   sending_away_ = on;
--- a/src/net/submitter_front.h
+++ b/src/net/submitter_front.h
@@ -41,6 +41,9 @@
   // Is this process ready to serve? Not while sending away, nor once SIGTERM came.
   bool Ready() const { return Welcoming() && !draining_; }
 
+  // The limits have changed (a replacement shares them): idle connections past the new ones make way.
+  void Reshare();
+
   std::size_t submitters() const { return submitters_.size(); }
   std::uint16_t port() const;  // that it listens on
 
--- a/tests/net/door_test.cpp
+++ b/tests/net/door_test.cpp
@@ -8,7 +8,9 @@
 
 #include "admin/calls.h"
 #include "admin/figures.h"
+#include "admin/live_marks.h"
 #include "admin/operator_state.h"
+#include "config/limits.h"
 #include "world.h"
 
 using namespace brasswood;
@@ -299,3 +301,38 @@
   again.Write("mn\r\n");
   CHECK(again.Line() == "MN\r\n");
 }
+
+TEST_CASE("two processes of one router share its limits, and a single one has them whole") {
+  Limits whole;
+  whole.claim_conns = 168;
+  whole.submitters = 168;
+  whole.jobs = 159;
+  whole.resting = 32;
+  whole.resting_again = 84;
+  CHECK(Shared(whole, 1).claim_conns == 168);
+  CHECK(Shared(whole, 0).submitters == 168);
+  const Limits half = Shared(whole, 2);
+  CHECK(half.claim_conns + half.claim_conns <= whole.claim_conns);
+  CHECK(half.submitters + half.submitters <= whole.submitters);
+  CHECK(half.jobs <= half.claim_conns);
+  CHECK(half.jobs <= half.submitters);
+  CHECK(half.resting <= half.submitters);
+  CHECK(half.resting_again <= half.submitters);
+  CHECK(half.value == whole.value);  // sizes and times stay
+  CHECK(half.speak == whole.speak);
+  Limits tiny;
+  tiny.claim_conns = tiny.submitters = 6;
+  CHECK(Shared(tiny, 3).claim_conns >= 4);  // never none
+}
+
+TEST_CASE("live marks count the processes of one router, and a mark not renewed counts no more") {
+  char path[] = "/tmp/brasswood-live-XXXXXX";
+  REQUIRE(::mkdtemp(path) != nullptr);
+  LiveMarks mine(path, "n1", std::chrono::milliseconds(300));
+  CHECK(mine.Beat() == 1);
+  std::ofstream(std::string(path) + "/brasswood-n1.live.999999") << "999999\n";  // another, just now
+  std::ofstream(std::string(path) + "/brasswood-n2.live.999998") << "999998\n";  // another router's name
+  CHECK(mine.Beat() == 2);
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  CHECK(mine.Beat() == 1);  // the other stopped renewing its mark
+}
