Pass large values on to submitters as they arrive, and cut them only when the node falls silent

Ruled out: memory (0 of 48 MB) and descriptors.

Change: ParseClaimHead, ParseHttpHead; ClaimPool::TryStream/Stream with a backlog window; Engine::ClaimOpened/ClaimPiece with a stall deadline; the front writes pieces in order and ends the connection of a cut value.

Tests: engine (bound job, cut one failed, stall limit), the program (a 300 KB value arrives in pieces slower than its job's time and passes; a broken one ends the connection).

--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -12,13 +12,16 @@
 
 struct Limits {
   // Sizes of what is read, in bytes.
-  std::size_t value = 64 * 1024;      // a value, either way
-  std::size_t line = 4096;            // a command or answer line
-  std::size_t key = 250;              // memcache's own bound
-  std::size_t http_head = 16 * 1024;  // status line and headers of an HTTP answer
-  std::size_t list = 8 << 20;         // a machine list
-  std::size_t unsent = 1 << 20;       // answers waiting for one submitter; past it, it is not read
-  std::size_t discard = 80 << 20;     // read from a submitter after its last answer, and thrown away
+  std::size_t value =
+      64 * 1024;  // a value, either way, taken whole; a larger answer is passed on in pieces
+  std::size_t stream_most = 64 << 20;      // a value passed on in pieces
+  std::size_t stream_window = 256 * 1024;  // of such a value, waiting for its submitter; past it, not read
+  std::size_t line = 4096;                 // a command or answer line
+  std::size_t key = 250;                   // memcache's own bound
+  std::size_t http_head = 16 * 1024;       // status line and headers of an HTTP answer
+  std::size_t list = 8 << 20;              // a machine list
+  std::size_t unsent = 1 << 20;            // answers waiting for one submitter; past it, it is not read
+  std::size_t discard = 80 << 20;          // read from a submitter after its last answer, and thrown away
 
   // Counts.
   std::size_t machines = 4096;      // in one list
@@ -46,8 +49,9 @@
   Duration settle{
       std::chrono::milliseconds(25)};         // what spoils a resting connection mostly comes this soon
   Duration forget{std::chrono::seconds(15)};  // a machine gone for this long is forgotten
-  Duration write_stall{std::chrono::seconds(10)};   // a submitter that takes nothing for this long goes
-  Duration default_wait{std::chrono::seconds(4)};   // of a job that states none
+  Duration stream_stall{std::chrono::seconds(2)};  // a value in pieces whose machine says nothing this long
+  Duration write_stall{std::chrono::seconds(10)};  // a submitter that takes nothing for this long goes
+  Duration default_wait{std::chrono::seconds(4)};  // of a job that states none
   Duration longest_wait{std::chrono::seconds(60)};  // of any job
   Duration watch{std::chrono::milliseconds(4000)};  // discovery may hold a watch this long
   Duration call_grace{
--- a/src/core/ends.h
+++ b/src/core/ends.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "base/clock.h"
 #include "beechledge/balancer.h"
@@ -44,11 +45,20 @@
 };
 
 // A front end: told each job's one answer, by the ticket it gave. It must not call the engine back from
-// inside Deliver: the engine is at work on its tables then.
+// inside any of these: the engine is at work on its tables then.
+//
+// A large value is passed on as it comes: Open with its length, then Piece after piece, then Deliver. A
+// kValue ends it (its body is empty: all of it came in pieces); any other answer after Open means the value
+// cannot be finished, and the front must let its submitter tell that it is not whole (close the connection
+// once what came is out), never word a second answer for it.
 class Front {
  public:
   virtual ~Front() = default;
   virtual void Deliver(std::uint64_t ticket, const Answer& answer) = 0;
+  virtual void Open(std::uint64_t ticket, std::size_t length) = 0;
+  virtual void Piece(std::uint64_t ticket, std::string_view bytes) = 0;
+  // Bytes of answers that wait to go out to this ticket's submitter: what a piece adds to.
+  virtual std::size_t Backlog(std::uint64_t ticket) const = 0;
 };
 
 // How a claim went: the reply in the module's terms, and its value or receipt.
@@ -57,6 +67,7 @@
   beechledge::Note note = beechledge::Note::kNone;
   std::optional<beechledge::LoadReport> report;
   std::string body;
+  bool streamed = false;  // of a kOk: its value went on in pieces, and the body is empty
 };
 
 struct Machine {
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -112,7 +112,7 @@
   const Time now = now_();
   by_id_.insert(job.content->id);
   const JobId id =
-      jobs_.Add({&front, ticket, job.job_class, std::move(job.content), now + wait, 0, false, {}, {}});
+      jobs_.Add({&front, ticket, job.job_class, std::move(job.content), now + wait, 0, false, 0, {}, {}});
   request.id = id;
   ++counters_.jobs_in;
   ++open_jobs_;
@@ -241,6 +241,9 @@
   if (end.result == Result::kOk) {
     AnswerJob(*job,
               {job->content->write ? AnswerKind::kReceipt : AnswerKind::kValue, std::move(end.body), {}});
+  } else if (job->streaming == id) {
+    // Begun and not finished: the module leaves such a job alone, and its submitter is to see a value cut.
+    AnswerJob(*job, {AnswerKind::kFailed, {}, {}});
   }
   beechledge::Outcome outcome;
   outcome.id = claim.job;
@@ -255,6 +258,43 @@
   Release(claim.job);
 }
 
+bool Engine::ClaimOpened(ClaimId id, std::size_t length) {
+  Claim* claim = claims_.Find(id);
+  if (claim == nullptr || claim->job == 0) return false;
+  Job* job = jobs_.Find(claim->job);
+  if (job == nullptr || job->ended || job->streaming != 0) return false;
+  job->streaming = id;
+  Stall(*claim, id);
+  job->front->Open(job->ticket, length);
+  Push(beechledge::FirstByte{claim->job, claim->machine, claim->attempt, now_() - claim->sent});
+  return true;
+}
+
+// Guards against cutting what a slow machine still gives: the job's time is for its first bytes, and once
+// a value has begun there is no other way to serve it. Only a machine that falls silent is given up.
+void Engine::Stall(Claim& claim, ClaimId id) {
+  deadlines_.Drop(claim.deadline);
+  claim.deadline = deadlines_.Set(now_() + limits_.stream_stall, [this, id] {
+    GiveUp(id, Result::kTimeout);
+    Pump();
+  });
+}
+
+void Engine::ClaimPiece(ClaimId id, std::string_view bytes) {
+  Claim* claim = claims_.Find(id);
+  if (claim == nullptr) return;
+  const Job* job = jobs_.Find(claim->job);
+  if (job == nullptr || job->ended || job->streaming != id) return;
+  Stall(*claim, id);
+  if (!bytes.empty()) job->front->Piece(job->ticket, bytes);
+}
+
+std::size_t Engine::Backlog(ClaimId id) const {
+  const Claim* claim = claims_.Find(id);
+  const Job* job = claim == nullptr ? nullptr : jobs_.Find(claim->job);
+  return job == nullptr || job->ended ? 0 : job->front->Backlog(job->ticket);
+}
+
 // ---- The module's other actions ----
 
 void Engine::Do(const beechledge::Refuse& a) {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -40,6 +40,15 @@
 
   // From the back ends. An id that has ended is passed over.
   void ClaimEnded(ClaimId claim, ClaimEnd end);
+  // A claim's answer is a large value that goes on in pieces: its job is bound to this claim from now on,
+  // and the module is told of the first byte. False: nobody waits for it (the job has ended or another of
+  // its claims is passing one on), and the back end gives the claim up.
+  bool ClaimOpened(ClaimId claim, std::size_t length);
+  // A piece of it; empty: none, but its submitter is still taking the last ones (its machine is not
+  // silent).
+  void ClaimPiece(ClaimId claim, std::string_view bytes);
+  // Bytes waiting for the submitter of this claim's job; 0 where there is none.
+  std::size_t Backlog(ClaimId claim) const;
   const Machine* FindMachine(MachineId id) const;
   // May the first byte of a claim go to this machine now?
   bool MayWrite(MachineId id) const;
@@ -76,6 +85,7 @@
     Time deadline{0};
     int attempts = 0;
     bool ended = false;
+    ClaimId streaming = 0;  // the claim whose value goes on in pieces
     std::vector<ClaimId> out;
     std::vector<MachineId> asked;
   };
@@ -103,6 +113,7 @@
   void Do(const beechledge::Log& a);
 
   void GiveUp(ClaimId id, beechledge::Result why);
+  void Stall(Claim& claim, ClaimId id);
   void Conclude(ClaimId id, ClaimEnd end);
   void AnswerJob(Job& job, const Answer& answer);
   void Release(JobId id);
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -35,6 +35,7 @@
     Slot& slot = slots_[number];
     return slot.value && slot.generation == id >> 32 ? &*slot.value : nullptr;
   }
+  const T* Find(Id id) const { return const_cast<Slots*>(this)->Find(id); }
   bool Remove(Id id) {
     if (Find(id) == nullptr) return false;
     const auto number = static_cast<std::uint32_t>(id);
--- a/src/net/claim_pool.cpp
+++ b/src/net/claim_pool.cpp
@@ -166,6 +166,8 @@
 
 void ClaimPool::OnRead(Connection& c) {
   if (c.idle || !c.written) return Break(c, Result::kConnectFailed);  // nothing was asked
+  if (c.streaming) return Stream(c);
+  if (c.errand.job && !c.errand.job->write && TryStream(c)) return;
   std::size_t used = 0;
   ClaimEnd end;
   bool keep = true;
@@ -192,6 +194,92 @@
   engine_.ClaimEnded(claim, std::move(end));
 }
 
+// A large value is passed on as it comes, never held until it is whole: a slow machine that writes in
+// small pieces would keep its submitter waiting for all of it, and memory would hold all of it. Only the
+// head is gathered here, not what follows. True: the answer is being passed on, or has ended the claim.
+bool ClaimPool::TryStream(Connection& c) {
+  evbuffer* in = bufferevent_get_input(c.buffer.get());
+  const std::size_t have = evbuffer_get_length(in);
+  const std::size_t look = std::min(have, limits_.http_head + limits_.line + 8);
+  const std::string_view front(
+      reinterpret_cast<const char*>(evbuffer_pullup(in, static_cast<ev_ssize_t>(look))), look);
+  std::size_t used = 0, trailer = 0;
+  ClaimEnd head;
+  std::optional<std::uint64_t> length;
+  bool keep = true;
+  const Parsed got = ParseHead(front, c.errand, used, head, length, trailer, keep);
+  if (got != Parsed::kDone || !length || *length <= limits_.value) return false;  // as a whole one
+  evbuffer_drain(in, used);
+  loop_.deadlines().Drop(c.deadline);
+  c.streaming = true;
+  c.left = *length;
+  c.trailer = trailer;
+  c.keep = keep;
+  c.head = std::move(head);
+  const ClaimId claim = c.errand.claim;
+  if (!engine_.ClaimOpened(claim, static_cast<std::size_t>(*length))) {
+    if (busy_.contains(claim)) Break(c, Result::kCancelled);
+    return true;
+  }
+  if (busy_.contains(claim)) Stream(c);
+  return true;
+}
+
+void ClaimPool::Stream(Connection& c) {
+  constexpr std::size_t kPiece = 64 * 1024;
+  const ClaimId claim = c.errand.claim;
+  evbuffer* in = bufferevent_get_input(c.buffer.get());
+  std::string piece;
+  while (c.left > 0 && evbuffer_get_length(in) > 0) {
+    if (engine_.Backlog(claim) > limits_.stream_window) return AwaitRoom(c);
+    const auto n =
+        static_cast<std::size_t>(std::min<std::uint64_t>({c.left, evbuffer_get_length(in), kPiece}));
+    piece.resize(n);
+    evbuffer_remove(in, piece.data(), n);
+    c.left -= n;
+    engine_.ClaimPiece(claim, piece);
+    if (!busy_.contains(claim)) return;  // given up meanwhile, and the connection with it
+  }
+  if (c.left > 0 || evbuffer_get_length(in) < c.trailer) return;
+  if (c.trailer > 0) {
+    const std::string_view end(
+        reinterpret_cast<const char*>(evbuffer_pullup(in, static_cast<ev_ssize_t>(c.trailer))), c.trailer);
+    if (end != std::string_view("\r\n").substr(0, c.trailer)) return Break(c, Result::kSpoilt);
+    evbuffer_drain(in, c.trailer);
+  }
+  Finish(c);
+}
+
+void ClaimPool::Finish(Connection& c) {
+  const ClaimId claim = c.errand.claim;
+  ClaimEnd end = std::move(c.head);
+  end.result = Result::kOk;
+  end.streamed = true;
+  c.streaming = false;
+  const bool whole = LeftWhole(c) && evbuffer_get_length(bufferevent_get_input(c.buffer.get())) == 0;
+  if (c.keep && whole) {
+    Rest(c);
+  } else {
+    Drop(c);
+  }
+  engine_.ClaimEnded(claim, std::move(end));
+}
+
+// Guards against a submitter that takes a value more slowly than its machine gives it: past the window the
+// machine's connection is not read, and the kernel holds the machine back, until the submitter has taken
+// half of it. Looked at again every few milliseconds.
+void ClaimPool::AwaitRoom(Connection& c) {
+  bufferevent_disable(c.buffer.get(), EV_READ);
+  loop_.deadlines().Drop(c.deadline);
+  c.deadline = loop_.deadlines().Set(loop_.Now() + std::chrono::milliseconds(5), [this, place = c.self] {
+    place->deadline = {};
+    engine_.ClaimPiece(place->errand.claim, {});
+    if (engine_.Backlog(place->errand.claim) > limits_.stream_window / 2) return AwaitRoom(*place);
+    bufferevent_enable(place->buffer.get(), EV_READ);
+    Stream(*place);
+  });
+}
+
 // Guards against an answer that states more than is sent: nothing else would tell until the job's time is
 // up, while a repeat may still serve it. What waits in the kernel is read first.
 void ClaimPool::AwaitRest(Connection& c, Duration wait) {
@@ -289,6 +377,13 @@
   return WriteClaim(*errand.job, left);
 }
 
+Parsed ExecuteNodePool::ParseHead(std::string_view in, const Errand& errand, std::size_t& used,
+                                  ClaimEnd& end, std::optional<std::uint64_t>& length, std::size_t& trailer,
+                                  bool&) const {
+  trailer = 2;
+  return ParseClaimHead(in, *errand.job, limits(), used, end, length);
+}
+
 Parsed ExecuteNodePool::Parse(std::string_view in, const Errand& errand, std::size_t& used, ClaimEnd& end,
                               bool&) const {
   if (!errand.job) return ParseProbeReply(in, errand.load, limits(), used, end);
@@ -300,6 +395,19 @@
   return WriteOriginClaim(machine.endpoint, *errand.job);
 }
 
+Parsed OriginClient::ParseHead(std::string_view in, const Errand&, std::size_t& used, ClaimEnd& end,
+                               std::optional<std::uint64_t>& length, std::size_t& trailer,
+                               bool& keep) const {
+  HttpAnswer answer;
+  trailer = 0;
+  const Parsed got = ParseHttpHead(in, limits(), used, answer, length);
+  if (got != Parsed::kDone) return got;
+  if (answer.status != 200) length.reset();  // only a value goes on in pieces
+  keep = answer.keep;
+  end = ReadOriginProbe(answer);
+  return got;
+}
+
 Parsed OriginClient::Parse(std::string_view in, const Errand& errand, std::size_t& used, ClaimEnd& end,
                            bool& keep) const {
   HttpAnswer answer;
--- a/src/net/claim_pool.h
+++ b/src/net/claim_pool.h
@@ -5,6 +5,7 @@
 
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -49,6 +50,13 @@
   virtual Parsed Parse(std::string_view in, const Errand& errand, std::size_t& used, ClaimEnd& end,
                        bool& keep) const = 0;
   const Limits& limits() const { return limits_; }
+  // The head of an answer to a read whose value may go on in pieces. kDone with `length`: the value's
+  // length, `used` up to its first byte, `trailer` the bytes after it (a CRLF, or none), `end` what the
+  // head says of the claim; kDone without `length`: the answer is read whole by Parse. kMore, kBad as
+  // Parse.
+  virtual Parsed ParseHead(std::string_view in, const Errand& errand, std::size_t& used, ClaimEnd& end,
+                           std::optional<std::uint64_t>& length, std::size_t& trailer,
+                           bool& keep) const = 0;
   // Does a claim written whole count among the figure's upstream tries? Those to execute nodes do.
   virtual bool CountsTries() const { return false; }
 
@@ -64,6 +72,12 @@
     bool up = false;
     bool written = false;  // the errand's bytes are in the buffer, or gone
     bool counted = false;  // its last byte has left, and the figures know
+    // Of an answer that goes on in pieces: the value's bytes still to come, then the trailer's.
+    bool streaming = false;
+    std::uint64_t left = 0;
+    std::size_t trailer = 0;
+    bool keep = true;
+    ClaimEnd head;  // what the answer's head said
     bool idle = false;
     Time rested{0};  // since when, if idle
     Errand errand;
@@ -75,6 +89,10 @@
   void WriteErrand(Connection& c);
   void OnRead(Connection& c);
   void OnWritten(Connection& c);
+  bool TryStream(Connection& c);
+  void Stream(Connection& c);
+  void Finish(Connection& c);
+  void AwaitRoom(Connection& c);
   Connection* Rested(MachineId machine);
   void AwaitRest(Connection& c, Duration wait);
   void OnEvent(Connection& c, short what);
@@ -102,6 +120,8 @@
 
  private:
   bool CountsTries() const override { return true; }
+  Parsed ParseHead(std::string_view in, const Errand& errand, std::size_t& used, ClaimEnd& end,
+                   std::optional<std::uint64_t>& length, std::size_t& trailer, bool& keep) const override;
   std::string Write(const Errand& errand, const Machine& machine, Duration left) const override;
   Parsed Parse(std::string_view in, const Errand& errand, std::size_t& used, ClaimEnd& end,
                bool& keep) const override;
@@ -112,6 +132,8 @@
   using ClaimPool::ClaimPool;
 
  private:
+  Parsed ParseHead(std::string_view in, const Errand& errand, std::size_t& used, ClaimEnd& end,
+                   std::optional<std::uint64_t>& length, std::size_t& trailer, bool& keep) const override;
   std::string Write(const Errand& errand, const Machine& machine, Duration left) const override;
   Parsed Parse(std::string_view in, const Errand& errand, std::size_t& used, ClaimEnd& end,
                bool& keep) const override;
--- a/src/net/submitter_front.cpp
+++ b/src/net/submitter_front.cpp
@@ -219,35 +219,89 @@
 
 void SubmitterFront::Reply(Submitter& s, std::string text) {
   s.held += text.size();
-  s.pending.push_back({0, {}, true, std::move(text)});
+  s.pending.push_back({0, {}, true, false, false, std::move(text)});
   Flush(s);
 }
 
+SubmitterFront::Pending* SubmitterFront::PendingOf(std::uint64_t ticket, Submitter*& s) {
+  const Ticket* to = tickets_.Find(ticket);
+  if (to == nullptr) return nullptr;
+  auto* held = submitters_.Find(to->submitter);
+  if (held == nullptr) return nullptr;
+  s = held->get();
+  if (to->number < s->first || to->number - s->first >= s->pending.size()) return nullptr;  // cut off
+  return &s->pending[to->number - s->first];
+}
+
 void SubmitterFront::Deliver(std::uint64_t ticket, const Answer& answer) {
-  const Ticket* found = tickets_.Find(ticket);
-  if (found == nullptr) return;
-  const Ticket to = *found;
+  Submitter* s = nullptr;
+  Pending* pending = PendingOf(ticket, s);
   tickets_.Remove(ticket);
-  auto* held = submitters_.Find(to.submitter);
-  if (held == nullptr) return;
-  Submitter& s = **held;
-  Pending& pending = s.pending[to.number - s.first];
-  AppendAnswer(pending.text, pending.id, answer, limits_);
-  pending.answered = true;
-  pending.job = 0;
-  s.held += pending.text.size();
-  Flush(s);
+  if (pending == nullptr) return;
+  const std::size_t before = pending->text.size();
+  if (!pending->open) {
+    AppendAnswer(pending->text, pending->id, answer, limits_);
+  } else if (answer.kind == AnswerKind::kValue) {
+    pending->text.append("\r\n");
+  } else {
+    pending->broken = true;
+  }
+  pending->answered = true;
+  pending->job = 0;
+  s->held += pending->text.size() - before;
+  Flush(*s);
+}
+
+void SubmitterFront::Open(std::uint64_t ticket, std::size_t length) {
+  Submitter* s = nullptr;
+  Pending* pending = PendingOf(ticket, s);
+  if (pending == nullptr || pending->open || pending->answered) return;
+  const std::size_t before = pending->text.size();
+  pending->text.append("VA ")
+      .append(std::to_string(length))
+      .append(" O")
+      .append(pending->id)
+      .append("\r\n");
+  pending->open = true;
+  s->held += pending->text.size() - before;
+  Flush(*s);
+}
+
+void SubmitterFront::Piece(std::uint64_t ticket, std::string_view bytes) {
+  Submitter* s = nullptr;
+  Pending* pending = PendingOf(ticket, s);
+  if (pending == nullptr || !pending->open || pending->answered) return;
+  pending->text.append(bytes);
+  s->held += bytes.size();
+  Flush(*s);
+}
+
+std::size_t SubmitterFront::Backlog(std::uint64_t ticket) const {
+  const Ticket* to = tickets_.Find(ticket);
+  if (to == nullptr) return 0;
+  const auto* held = submitters_.Find(to->submitter);
+  if (held == nullptr) return 0;
+  return (*held)->held + evbuffer_get_length(bufferevent_get_output((*held)->buffer.get()));
 }
 
 // Hands on what is answered, as far as the order of the commands allows. The rest of what an answer sets
 // off (reading on, closing) is left to a turn of its own: the engine is at work here.
 void SubmitterFront::Flush(Submitter& s) {
-  while (!s.pending.empty() && s.pending.front().answered) {
-    const std::string& text = s.pending.front().text;
-    bufferevent_write(s.buffer.get(), text.data(), text.size());
-    s.held -= text.size();
+  while (!s.cut && !s.pending.empty() && (s.pending.front().answered || s.pending.front().open)) {
+    Pending& front = s.pending.front();
+    bufferevent_write(s.buffer.get(), front.text.data(), front.text.size());
+    s.held -= front.text.size();
+    front.text.clear();
+    if (!front.answered) break;  // the rest of its value is to come
+    const bool broken = front.broken;
     s.pending.pop_front();
     ++s.first;
+    // Guards against a cut value read as whole, or the next answer read as its rest: the submitter is to
+    // see the connection end where the value stops.
+    if (broken) {
+      s.cut = true;
+      s.closing = true;
+    }
   }
   if ((s.paused || s.closing || draining_ || sending_away_) && !s.woken) {
     s.woken = true;
@@ -265,6 +319,16 @@
     bufferevent_enable(s.buffer.get(), EV_READ);
     return Read(s);
   }
+  if (s.cut && !s.pending.empty()) {
+    std::vector<JobId> given_up;
+    for (const Pending& pending : s.pending) {
+      if (pending.job != 0) given_up.push_back(pending.job);
+    }
+    s.first += s.pending.size();
+    s.pending.clear();
+    s.held = 0;
+    for (const JobId job : given_up) engine_.SubmitterGone(job);
+  }
   if (s.closing) return HangUp(s);
   // While draining, a connection closes once it has fallen idle; a new one is first let speak. (libevent
   // reports a fresh connection's empty output as written, which used to close it before its first command.)
--- a/src/net/submitter_front.h
+++ b/src/net/submitter_front.h
@@ -27,6 +27,9 @@
   ~SubmitterFront() override;
 
   void Deliver(std::uint64_t ticket, const Answer& answer) override;
+  void Open(std::uint64_t ticket, std::size_t length) override;
+  void Piece(std::uint64_t ticket, std::string_view bytes) override;
+  std::size_t Backlog(std::uint64_t ticket) const override;
 
   // Closes each connection as it falls idle; after Limits::linger the listener too, and calls `done` once
   // nothing is left to answer.
@@ -57,6 +60,8 @@
     JobId job = 0;
     std::string id;
     bool answered = false;
+    bool open = false;    // a value going on in pieces: what is in `text` may go out before the rest
+    bool broken = false;  // such a value that cannot be finished
     std::string text;
   };
   struct Submitter {
@@ -73,6 +78,7 @@
     bool shut = false;        // all is answered, and it has been told that no more comes
     bool paused = false;      // not read until it has taken some answers
     bool woken = false;       // a turn of Wake is due
+    bool cut = false;         // a value was cut: nothing more goes out, and the rest is given up
     EventPtr discard;         // of one that is closing: reads on and throws away
     std::size_t discarded = 0;
     RestQueue* queue = nullptr;                // where it rests; null: it does not
@@ -96,6 +102,7 @@
   void Begin(Submitter& s, JobContent content);
   void Reply(Submitter& s, std::string text);
   void Flush(Submitter& s);
+  Pending* PendingOf(std::uint64_t ticket, Submitter*& s);
   bool Full(const Submitter& s) const;
   void Wake(std::uint64_t id);
   void Await(Submitter& s);
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -71,8 +71,9 @@
 namespace {
 
 // One head: interim ones, which have no body, are told by their status.
+// With `body`, a head whose body has a stated length is taken alone: `used` ends at the body's start.
 Parsed ParseHead(std::string_view in, std::size_t most_body, const Limits& limits, std::size_t& used,
-                 HttpAnswer& answer) {
+                 HttpAnswer& answer, std::optional<std::uint64_t>* body = nullptr) {
   answer = {};
   const std::size_t head_end = in.substr(0, limits.http_head + 4).find("\r\n\r\n");
   if (head_end == in.npos) return in.size() >= limits.http_head + 4 ? Parsed::kBad : Parsed::kMore;
@@ -114,6 +115,11 @@
     return Parsed::kDone;
   }
   if (chunked) return TakeChunks(in, at, most_body, used, answer.body);
+  if (body != nullptr && length) {
+    *body = length;
+    used = at;
+    return Parsed::kDone;
+  }
   if (!length || *length > most_body) return Parsed::kBad;
   if (in.size() - at < *length) return Parsed::kMore;
   answer.body.assign(in.substr(at, *length));
@@ -142,6 +148,25 @@
   return Parsed::kBad;
 }
 
+Parsed ParseHttpHead(std::string_view in, const Limits& limits, std::size_t& used, HttpAnswer& answer,
+                     std::optional<std::uint64_t>& length) {
+  std::size_t at = 0;
+  length.reset();
+  for (std::size_t n = 0; n <= limits.interim; ++n) {
+    std::size_t taken = 0;
+    const Parsed got = ParseHead(in.substr(at), limits.value, limits, taken, answer, &length);
+    if (got != Parsed::kDone) return got;
+    at += taken;
+    if (answer.status == 101) return Parsed::kBad;
+    if (answer.status >= 200) {
+      used = at;
+      return Parsed::kDone;
+    }
+    length.reset();
+  }
+  return Parsed::kBad;
+}
+
 std::string WriteGet(std::string_view host, std::string_view path) {
   std::string out = "GET ";
   out.append(path).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n\r\n");
--- a/src/protocol/http.h
+++ b/src/protocol/http.h
@@ -2,6 +2,8 @@
 #ifndef BRASSWOOD_PROTOCOL_HTTP_H_
 #define BRASSWOOD_PROTOCOL_HTTP_H_
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -24,6 +26,12 @@
 Parsed ParseHttpAnswer(std::string_view in, std::size_t most_body, const Limits& limits, std::size_t& used,
                        HttpAnswer& answer);
 
+// The head alone of an answer, interim ones passed over: where it states a Content-Length, `length` has it
+// and `used` ends where the body begins; else `length` is empty and only the head was looked at (an answer
+// in chunks, or one with no body, is read whole by ParseHttpAnswer).
+Parsed ParseHttpHead(std::string_view in, const Limits& limits, std::size_t& used, HttpAnswer& answer,
+                     std::optional<std::uint64_t>& length);
+
 std::string WriteGet(std::string_view host, std::string_view path);
 
 // A claim as the origin takes it.
--- a/src/protocol/meta.cpp
+++ b/src/protocol/meta.cpp
@@ -175,9 +175,13 @@
   return out;
 }
 
-Parsed ParseClaimReply(std::string_view in, const JobContent& job, const Limits& limits, std::size_t& used,
-                       ClaimEnd& end) {
+namespace {
+
+// `most`: the largest value taken; `head`: stop after a VA head line.
+Parsed ParseReply(std::string_view in, const JobContent& job, const Limits& limits, std::size_t most,
+                  bool head_only, std::size_t& used, ClaimEnd& end, std::optional<std::uint64_t>& value) {
   end = {};
+  value.reset();
   std::string_view rest;
   const Parsed got = TakeLine(in, limits.line, rest, used);
   if (got != Parsed::kDone) return got;
@@ -193,7 +197,7 @@
   std::optional<std::uint64_t> length;
   if (head == "VA") {
     length = WholeNumber(NextWord(rest));
-    if (!length || *length > limits.value) return Parsed::kBad;
+    if (!length || *length > most) return Parsed::kBad;
   } else if (head != "HD" && head != "EN") {
     return Parsed::kBad;
   }
@@ -215,11 +219,28 @@
   }
   if ((head == "HD") != job.write) return Parsed::kBad;
   end.result = Result::kOk;
+  if (head == "VA" && head_only) {
+    value = length;
+    return Parsed::kDone;
+  }
   if (head == "VA") return TakeBlock(in, used, *length, end.body, used);
   end.body = receipt;
   return receipt.empty() ? Parsed::kBad : Parsed::kDone;
 }
 
+}  // namespace
+
+Parsed ParseClaimReply(std::string_view in, const JobContent& job, const Limits& limits, std::size_t& used,
+                       ClaimEnd& end) {
+  std::optional<std::uint64_t> unused;
+  return ParseReply(in, job, limits, limits.value, false, used, end, unused);
+}
+
+Parsed ParseClaimHead(std::string_view in, const JobContent& job, const Limits& limits, std::size_t& used,
+                      ClaimEnd& end, std::optional<std::uint64_t>& length) {
+  return ParseReply(in, job, limits, limits.stream_most, true, used, end, length);
+}
+
 void SetReport(beechledge::LoadReport& r, std::string_view name, double value) {
   const std::pair<std::string_view, std::optional<double>*> fields[] = {
       {"inflight", &r.inflight}, {"queue", &r.queue}, {"util", &r.util}, {"latency_ms", &r.latency_ms},
--- a/src/protocol/meta.h
+++ b/src/protocol/meta.h
@@ -40,6 +40,11 @@
 Parsed ParseClaimReply(std::string_view in, const JobContent& job, const Limits& limits, std::size_t& used,
                        ClaimEnd& end);
 
+// The head line alone of a claim's answer. A VA head gives the value's `length` and `used` ends where the
+// value begins; any other answer is left to ParseClaimReply (`length` empty). kBad as ParseClaimReply.
+Parsed ParseClaimHead(std::string_view in, const JobContent& job, const Limits& limits, std::size_t& used,
+                      ClaimEnd& end, std::optional<std::uint64_t>& length);
+
 // The answer to `mn` or, with `load`, to `stats load`.
 Parsed ParseProbeReply(std::string_view in, bool load, const Limits& limits, std::size_t& used,
                        ClaimEnd& end);
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -53,6 +53,9 @@
   void Deliver(std::uint64_t ticket, const Answer& answer) override {
     answers[ticket].push_back(answer.kind);
   }
+  void Open(std::uint64_t ticket, std::size_t length) override { opened[ticket] = length; }
+  void Piece(std::uint64_t ticket, std::string_view bytes) override { pieces[ticket].append(bytes); }
+  std::size_t Backlog(std::uint64_t ticket) const override { return pieces.contains(ticket) ? 1 : 0; }
   void Start(ClaimId claim, MachineId to, std::shared_ptr<const JobContent>, Time) override {
     claims.push_back({claim, to});
     if (fail_at_once) engine->ClaimEnded(claim, {Result::kConnectFailed, {}, {}, {}});
@@ -70,6 +73,8 @@
   Engine* engine = nullptr;
   bool fail_at_once = false, left_whole = true;
   std::map<std::uint64_t, std::vector<AnswerKind>> answers;
+  std::map<std::uint64_t, std::size_t> opened;
+  std::map<std::uint64_t, std::string> pieces;
   std::vector<std::pair<ClaimId, MachineId>> claims;
   std::vector<ClaimId> abandoned;
   std::vector<MachineId> forgotten;
@@ -299,3 +304,39 @@
   CHECK(w.counters.by_class[1].dropped + w.counters.by_class[1].bad_gateway == 1);
   CHECK(w.engine->open_jobs() == 0);
 }
+
+TEST_CASE("a value in pieces binds its job to its claim: no other claim, and a cut one is failed") {
+  World w;
+  w.Take(1);
+  REQUIRE(w.ends.claims.size() == 1);
+  const ClaimId claim = w.ends.claims[0].first;
+  REQUIRE(w.engine->ClaimOpened(claim, 1 << 20));
+  CHECK(w.ends.opened[1] == 1u << 20);
+  CHECK_FALSE(w.engine->ClaimOpened(claim, 5));  // once
+  w.engine->ClaimPiece(claim, "abc");
+  CHECK(w.ends.pieces[1] == "abc");
+  CHECK(w.engine->Backlog(claim) == 1);
+  w.engine->ClaimEnded(claim, {Result::kReset, {}, {}, {}});  // the machine broke off
+  CHECK(w.ends.answers[1] == std::vector{AnswerKind::kFailed});
+  CHECK(w.ends.claims.size() == 1);  // nothing was tried again: part of it had gone out
+  w.Take(2);
+  const ClaimId second = w.ends.claims.back().first;
+  REQUIRE(w.engine->ClaimOpened(second, 100000));
+  w.engine->ClaimEnded(second, {Result::kOk, {}, {}, {}, true});
+  CHECK(w.ends.answers[2] == std::vector{AnswerKind::kValue});
+}
+
+TEST_CASE("a value in pieces goes on past its job's time while its machine gives, not once it is silent") {
+  World w;
+  w.limits.stream_stall = 300ms;
+  w.Take(1);
+  const ClaimId claim = w.ends.claims[0].first;
+  REQUIRE(w.engine->ClaimOpened(claim, 1 << 20));
+  for (int i = 0; i < 10; ++i) {  // 2 s of pieces, well past the job's 900 ms
+    w.To(w.now + 200ms);
+    w.engine->ClaimPiece(claim, "x");
+  }
+  CHECK(w.ends.answers[1].empty());
+  w.To(w.now + 350ms);  // then silence
+  CHECK(w.ends.answers[1] == std::vector{AnswerKind::kFailed});
+}
--- a/tests/net/router_test.cpp
+++ b/tests/net/router_test.cpp
@@ -513,3 +513,38 @@
   CHECK(p.listen == "brasswood: configuration: \"listen\" is not an address and port: nowhere\n");
   CHECK(p.Wait() == 1);
 }
+
+TEST_CASE("a large value goes on to its submitter as it comes, and a cut one ends the connection") {
+  Listener node;
+  Router router(Target("s1", node.address(), "in_service"));
+  Fd submitter = router.Connect();
+  submitter.Write(Read("big", "a1", 3000));
+  Fd claim = node.Accept();
+  CHECK(claim.Line().starts_with("mg big v Oa1"));
+  const std::size_t size = 300000;  // past what is taken whole
+  claim.Write("VA " + std::to_string(size) + " Oa1\r\n" + std::string(1000, 'x'));
+  CHECK(submitter.Line() == "VA " + std::to_string(size) + " Oa1\r\n");  // before the rest exists
+  CHECK(submitter.Exactly(1000) == std::string(1000, 'x'));
+  for (std::size_t sent = 1000; sent < size; sent += 49900) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));  // slower in all than the job's time
+    claim.Write(std::string(std::min<std::size_t>(49900, size - sent), 'y'));
+  }
+  claim.Write("\r\n");
+  CHECK(submitter.Exactly(size - 1000 + 2) == std::string(size - 1000, 'y') + "\r\n");
+  submitter.Write("mn\r\n");
+  CHECK(submitter.Line() == "MN\r\n");  // the connection goes on
+}
+
+TEST_CASE("a large value that its node breaks off ends its submitter's connection where it stops") {
+  Listener node;
+  Router router(Target("s1", node.address(), "in_service"));
+  Fd submitter = router.Connect();
+  submitter.Write(Read("big2", "a2", 3000));
+  Fd claim = node.Accept();
+  CHECK(claim.Line().starts_with("mg big2 v Oa2"));
+  claim.Write("VA 300000 Oa2\r\n" + std::string(5000, 'z'));
+  CHECK(submitter.Line() == "VA 300000 Oa2\r\n");
+  CHECK(submitter.Exactly(5000) == std::string(5000, 'z'));
+  claim.Close();  // no second answer follows: the submitter can tell that the value is not whole
+  CHECK(submitter.Ended());
+}
