Let an old process share limits without closing its idle submitters at once

Checked: the counters at exit show 68 to 203 submitters closed to make way per process; Reshare() closed idle submitters down to the new share the moment a second process appeared, and a close that crosses a request ends it at the door.

Change: Reshare() only bounds the rest queues and new accepts; the old process's submitters go as they fall idle after its SIGTERM, as before.

--- a/src/net/submitter_front.cpp
+++ b/src/net/submitter_front.cpp
@@ -464,11 +464,6 @@
   again_.most = limits_.resting_again;
   if (once_.trim == Deadlines::Id()) Trim(once_);
   if (again_.trim == Deadlines::Id()) Trim(again_);
-  for (std::size_t before = submitters_.size() + 1;
-       submitters_.size() > limits_.submitters && submitters_.size() < before;) {
-    before = submitters_.size();
-    MakeRoom();
-  }
 }
 
 void SubmitterFront::SendAway(bool on) {
