Count claims to the origin among upstream_tries, and log the figure with the counters

Change: every claim written whole counts, to a node or the origin.

Test: the door test's known traffic now has a miss fetched from the origin, and expects 3 tries.

--- a/src/base/counters.cpp
+++ b/src/base/counters.cpp
@@ -19,7 +19,8 @@
     out << " claims_" << NameOf(i) << '=' << c.claims_ended[i];
   }
   return out << " connections=" << c.connections << " connections_reused=" << c.connections_reused
-             << " probes=" << c.probes << " lists=" << c.lists << " lists_refused=" << c.lists_refused;
+             << " probes=" << c.probes << " lists=" << c.lists << " lists_refused=" << c.lists_refused
+             << " upstream_tries=" << c.upstream_tries;
 }
 
 }  // namespace brasswood
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -24,7 +24,7 @@
   std::uint64_t connections_reused = 0;
   std::uint64_t probes = 0;
   std::uint64_t lists = 0, lists_refused = 0;  // answers of discovery
-  std::uint64_t upstream_tries = 0;            // claims whose last byte left for an execute node
+  std::uint64_t upstream_tries = 0;            // claims whose last byte left, for a node or the origin
   struct ByClass {
     std::uint64_t passed = 0, dropped = 0, bad_gateway = 0;  // served, refused, failed
   };
--- a/src/net/claim_pool.cpp
+++ b/src/net/claim_pool.cpp
@@ -145,7 +145,7 @@
 
 // The output has gone to the kernel whole: the claim counts as an attempt from here.
 void ClaimPool::OnWritten(Connection& c) {
-  if (!c.written || c.counted || !c.errand.job || !CountsTries()) return;
+  if (!c.written || c.counted || !c.errand.job) return;
   c.counted = true;
   ++counters_.upstream_tries;
 }
--- a/src/net/claim_pool.h
+++ b/src/net/claim_pool.h
@@ -57,8 +57,6 @@
   virtual Parsed ParseHead(std::string_view in, const Errand& errand, std::size_t& used, ClaimEnd& end,
                            std::optional<std::uint64_t>& length, std::size_t& trailer,
                            bool& keep) const = 0;
-  // Does a claim written whole count among the figure's upstream tries? Those to execute nodes do.
-  virtual bool CountsTries() const { return false; }
 
  private:
   struct Connection;
@@ -119,7 +117,6 @@
   using ClaimPool::ClaimPool;
 
  private:
-  bool CountsTries() const override { return true; }
   Parsed ParseHead(std::string_view in, const Errand& errand, std::size_t& used, ClaimEnd& end,
                    std::optional<std::uint64_t>& length, std::size_t& trailer, bool& keep) const override;
   std::string Write(const Errand& errand, const Machine& machine, Duration left) const override;
--- a/tests/net/door_test.cpp
+++ b/tests/net/door_test.cpp
@@ -207,6 +207,21 @@
   CHECK(after.find("router.in_progress:0|g\n") != std::string::npos);
   CHECK(after.find("router.known_cache_servers:2|g\n") != std::string::npos);
   CHECK(after.find("router.skipped_cache_servers:0|g\n") != std::string::npos);
+  // A miss goes to the origin: that claim counts among the tries too.
+  claim.Close();  // so that the next claim comes on a new connection, whichever node it goes to
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  submitter.Write(Read("m", "a2"));
+  const std::size_t home = FirstCalled({&r.nodes[0], &r.nodes[1], &r.origin});
+  REQUIRE(home < 2);  // a node first
+  Fd missed = r.nodes[home].Accept();
+  CHECK(missed.Line().starts_with("mg m v Oa2"));
+  missed.Write("EN Oa2\r\n");
+  Fd fetch = r.origin.Accept();
+  CHECK(fetch.Until("\r\n\r\n").starts_with("GET /m HTTP/1.1\r\n"));
+  fetch.Write(Http("v"));
+  CHECK(submitter.Line() == "VA 1 Oa2\r\n");
+  CHECK(submitter.Line() == "v\r\n");
+  CHECK(Get(r.process.door, "/v1/metrics").find("router.upstream_tries:3|c\n") != std::string::npos);
 }
 
 TEST_CASE("the door answers while callers hold it silent or with half a call") {
