Give a cold server more once its own answers show that it is at ease

Checked and ruled out: the door and the hand-over (no request ends there once the servers keep up), sharing of the limits (the same with the old shares). Lines: FillCold in src/choice.cpp gave 0.4 of the budget whatever the server answered, and LookRate took a new process for one that sends nothing during its first five seconds (its smoothed count starts from 0).

Tests: Paces.AColdServerAtEaseGetsMoreAndASlowOneDoesNot fails without it (0.40 of the budget for both).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -12,6 +12,8 @@
 #include <unordered_map>
 
 #include "beechledge/balancer.h"
+#include "sight/paces.h"
+#include "sight/smoothed.h"
 
 namespace beechledge {
 namespace {
@@ -30,9 +32,11 @@
 constexpr Duration kQuietSpell = seconds(10);  // a set with more holders than it needs loses one after this
 constexpr Duration kReportLife = seconds(3);   // a report older than this counts for nothing
 constexpr std::size_t kKeyTableSize = 1 << 16;  // keys remembered; the least recently used goes first
-constexpr double kColdMargin =
-    0.4;  // of the cold budget: room for misses, skew, chance and unequal machines
-constexpr double kHealthStep = 0.2;           // weight of one outcome in a server's failure share
+// Of the cold budget: room for misses, skew, chance and unequal machines. The larger part goes to a server
+// whose own answers, at least kColdLooks of them, show that it is at ease with the smaller.
+constexpr double kColdMargin = 0.4, kColdMarginAtEase = 0.75;
+constexpr double kColdLooks = 10, kColdAtEase = 0.3;  // the logarithm of its time over the fleet's
+constexpr double kHealthStep = 0.2;                   // weight of one outcome in a server's failure share
 constexpr double kEjectShare = 0.5;           // ejected from this failure share on, if well above its peers
 constexpr int kEjectStreak = 3;               // or after so many failures without a success
 constexpr double kEjectCap = 0.4;             // at most this share of the listed servers is ejected
@@ -68,7 +72,6 @@
     seconds(5);  // after a refused connection idle ones at that server are given back this long
 constexpr Duration kHoldStep = milliseconds(25);  // how often held requests are tried again
 
-double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 Duration FromSeconds(double s) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::clamp(s, 0.0, 1e6)));
 }
@@ -92,25 +95,6 @@
   return Mix(key ^ (server * 0x9e3779b97f4a7c15ULL));
 }
 
-// An exponentially smoothed value that decays with time.
-struct Smoothed {
-  double value = 0;
-  Time at{0};
-
-  // What it has come to at `now`, if the level was `level` since the last call of Hold or Add.
-  double Read(Time now, Duration tau, double level = 0) const {
-    return level + (value - level) * std::exp(-Seconds(now - at) / Seconds(tau));
-  }
-  void Hold(Time now, Duration tau, double level) {
-    value = Read(now, tau, level);
-    at = now;
-  }
-  void Add(Time now, Duration tau, double amount) {
-    value = Read(now, tau) + amount;
-    at = now;
-  }
-};
-
 // Answer times on a logarithmic scale, old ones fading; gives quantiles.
 class Times {
  public:
@@ -172,6 +156,7 @@
 };
 
 struct Server {
+  bool known = false;   // has been listed, under this name
   bool listed = false;  // in the list now, draining or not
   std::uint64_t hash = 0;
   int zone = 0, kind = 0, cell = 0;
@@ -305,6 +290,7 @@
 
   void Handle(Time now, const Event& event, Actions& out) {
     now_ = std::max(now_, now);  // a clock that steps back stands still
+    if (began_ == Time(0)) began_ = now_;
     out_ = &out;
     std::visit([this](const auto& e) { On(e); }, event);
     out_ = nullptr;
@@ -344,15 +330,26 @@
 
   // How often this instance is answered by one warm server, a second. In a large fleet each balancer meets
   // a server seldom: what it knows of one comes from few looks.
-  double LookRate() const { return served_.Read(now_, kRateTau) / Seconds(kRateTau) / std::max(1, warm_); }
+  // What a young instance has not had the time to see is allowed for, from its first second on: it would
+  // take itself for one that sends nothing, and cold servers and health with it.
+  double LookRate() const {
+    const Duration age = std::max<Duration>(seconds(1), now_ - began_);
+    const double seen = Seconds(kRateTau) * (1 - std::exp(-Seconds(age) / Seconds(kRateTau)));
+    return served_.Read(now_, kRateTau) / seen / std::max(1, warm_);
+  }
 
   // This instance's share of what a cold server bears is in proportion to what it sends a warm one: summed
   // over all instances that is the load that warm servers are seen to bear, and less than their capacity.
   void FillCold(Server& s) const {
     const double age = std::clamp(Seconds(now_ - s.started) / Seconds(set_.rules.ramp), 0.0, 1.0);
     const double share = set_.rules.cold_from + (1 - set_.rules.cold_from) * age;
-    const double rate = kColdMargin * set_.rules.fall_multiple * share * LookRate();
-    const double most = std::max(1.0, rate * Seconds(set_.rules.fall) / 2);
+    // Guards against warm servers that drown beside cold ones at ease: what is sent to one in excess shows
+    // as slow answers long before it falls.
+    const ServerId id = static_cast<ServerId>(&s - servers_.data());
+    const bool at_ease = paces_.Looks(id, now_) >= kColdLooks && paces_.Slower(id, now_) < kColdAtEase;
+    const double margin = at_ease ? kColdMarginAtEase : kColdMargin;
+    const double rate = margin * set_.rules.fall_multiple * share * LookRate();
+    const double most = std::max(1.0, rate * Seconds(set_.rules.fall) / (at_ease ? 4 : 2));
     s.cold_tokens = std::min(most, s.cold_tokens + rate * Seconds(now_ - s.cold_at));
     s.cold_at = now_;
   }
@@ -954,12 +951,14 @@
         served_.Add(now_, kRateTau, 1);
         times_.Add(now_ - a.sent);
         LearnPace(s, now_ - a.sent);
+        if (!a.fetch && !r.write && !IsOrigin(s)) paces_.Answered(e.server, now_, now_ - a.sent, Cold(s));
         typical_ += 0.02 * (Seconds(now_ - a.sent) - typical_);
         // Where looks are few, load shows only how slow an answer was: one too late to be worth anything is
         // a failure, unless it was late to begin with.
         Judge(s, LookRate() < 1 && now_ > LastUse(r) && now_ - a.sent > times_.Quantile(0.95), false);
         break;
       case Result::kMiss:
+        paces_.Missed(e.server, now_, now_ - a.sent);
         Judge(s, false, false);
         break;
       case Result::kError:
@@ -1086,6 +1085,8 @@
     s.kind = entry.kind;
     s.cell = entry.cell;
     s.availability = entry.availability;
+    if (s.stated != entry.started || !s.known) paces_.Place(entry.id, s.kind, s.zone, StatedSize(entry));
+    s.known = true;
     if (s.stated != entry.started) {
       s.stated = entry.started;
       // Guards against a start that lies ahead, by a clock that is wrong: it would stay cold until then.
@@ -1100,6 +1101,10 @@
       s.cold_at = now_;
     }
   }
+  // Sizes that vary with the load of the moment say nothing that lasts.
+  double StatedSize(const ServerEntry& entry) const {
+    return set_.weights == Weights::kNominal || set_.weights == Weights::kRough ? entry.scale : 0;
+  }
 
   void Recount() {
     up_.clear();
@@ -1125,7 +1130,7 @@
 
   Settings set_;
   std::mt19937_64 random_;
-  Time now_{0};
+  Time now_{0}, began_{0};
   Actions* out_ = nullptr;
 
   std::vector<Server> servers_;     // by ServerId
@@ -1138,6 +1143,7 @@
   double fleet_failure_ = 0;
   bool holder_busy_ = false;  // of the last choice: a holder stood at L_idle or above
 
+  Paces paces_;
   KeyTable keys_;
   std::unordered_map<RequestId, Request> requests_;
   std::vector<RequestId> held_;
--- /dev/null
+++ b/src/sight/paces.h
@@ -0,0 +1,90 @@
+// What one balancer can tell of the servers' capacity from its own few answers: how long each takes against
+// the others, leaning on servers of its kind and hall where it is met seldom; and the weight to give it.
+//
+// A server's time to an answer grows with its load and shrinks with its capacity, so a share of the traffic
+// that falls as the time grows brings unequal servers towards equal times without anyone naming their size
+// (proportional feedback on the logarithm). What the list states of their size is the start of it.
+//
+// Free of I/O; times come from the host. Bounded: one record a server, at most kMostGroups groups of like
+// servers, further ones share the last. Estimates shrink towards their group by evidence, as in empirical
+// Bayes estimates of many means from few looks (James and Stein).
+#ifndef BEECHLEDGE_SIGHT_PACES_H_
+#define BEECHLEDGE_SIGHT_PACES_H_
+
+#include <cstdint>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "beechledge/balancer.h"
+#include "sight/smoothed.h"
+
+namespace beechledge {
+
+class Paces {
+ public:
+  // A server has come, or another one under its number, or it has begun again: what was learnt of the one
+  // before is forgotten; what was learnt of its kind stays. `size`: as the list states it; 0 or less, or
+  // not a number: not stated.
+  void Place(ServerId id, int kind, int hall, double size);
+  void Remove(ServerId id);
+  // The list states another size for it: its weight follows by steps.
+  void Resize(ServerId id, double size);
+
+  // An answer that the server made itself took so long (or one was waited for in vain for half of it). Of a
+  // cold server only it is told, not its kind.
+  void Answered(ServerId id, Time now, Duration took, bool cold);
+
+  // A miss: no measure of its work, but as slow as an answer it tells of a queue.
+  void Missed(ServerId id, Time now, Duration took);
+
+  // The natural logarithm of its time over the fleet's, as far as the evidence goes; 0: nothing known.
+  double Slower(ServerId id, Time now) const;
+  // How many recent answers of its own it rests on (old ones fade).
+  double Looks(ServerId id, Time now) const;
+
+  // Each server's weight, 1 on average over those placed, between kLeast and kMost of it; it moves by small
+  // steps, one each kStep of time, and only for a difference that is worth moving keys for.
+  double Weight(ServerId id) const { return id < servers_.size() ? servers_[id].weight : 1; }
+  // Takes a step if one is due. True: some weight has changed.
+  bool Step(Time now);
+
+  static constexpr double kLeast = 0.25, kMost = 4;
+  static constexpr std::size_t kMostGroups = 64;
+
+ private:
+  struct Pace {  // of answers, old ones fading: their number and the sum of their logarithms
+    Smoothed looks, sum;
+    void Add(Time now, double log_time);
+    double Mean(Time now, double lean_on, double lean) const;
+  };
+  struct Group {  // servers of one kind in one hall
+    Pace pace;
+    double learnt = 0;  // what its servers' weights came to beside their stated sizes, on average
+  };
+  struct Server {
+    bool placed = false;
+    std::size_t group = 0;
+    double log_size = 0;  // as stated; meaningless unless `stated`
+    bool stated = false;
+    double log_weight = 0, weight = 1;
+    Pace pace;
+  };
+  std::size_t GroupOf(int kind, int hall);
+  double Fleet(Time now) const;  // the mean logarithm
+  double Stated(const Server& s) const;
+  void State(Server& s, double size);
+  void Unstate(Server& s);
+
+  std::vector<Server> servers_;
+  std::map<std::pair<int, int>, std::size_t> groups_;
+  std::vector<Group> all_;  // by number
+  Pace fleet_;
+  double log_sizes_ = 0;  // the sum of those stated
+  int sizes_ = 0;
+  Time stepped_{0};
+};
+
+}  // namespace beechledge
+
+#endif  // BEECHLEDGE_SIGHT_PACES_H_
--- /dev/null
+++ b/src/sight/smoothed.h
@@ -0,0 +1,33 @@
+// An exponentially smoothed value that decays with time. Free of I/O; the host hands it the time.
+#ifndef BEECHLEDGE_SIGHT_SMOOTHED_H_
+#define BEECHLEDGE_SIGHT_SMOOTHED_H_
+
+#include <cmath>
+
+#include "beechledge/balancer.h"
+
+namespace beechledge {
+
+inline double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+
+struct Smoothed {
+  double value = 0;
+  Time at{0};
+
+  // What it has come to at `now`, if the level was `level` since the last call of Hold or Add.
+  double Read(Time now, Duration tau, double level = 0) const {
+    return level + (value - level) * std::exp(-Seconds(now - at) / Seconds(tau));
+  }
+  void Hold(Time now, Duration tau, double level) {
+    value = Read(now, tau, level);
+    at = now;
+  }
+  void Add(Time now, Duration tau, double amount) {
+    value = Read(now, tau) + amount;
+    at = now;
+  }
+};
+
+}  // namespace beechledge
+
+#endif  // BEECHLEDGE_SIGHT_SMOOTHED_H_
--- /dev/null
+++ b/tests/sight/paces_test.cpp
@@ -0,0 +1,143 @@
+// What is learnt of the servers' capacity from few answers, alone and in the module that uses it.
+#include "sight/paces.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <limits>
+
+#include "driver.h"
+
+namespace beechledge::testing {
+namespace {
+
+TEST(Paces, AServerMetSeldomLeansOnItsKind) {
+  Paces p;
+  for (ServerId id = 0; id < 8; ++id) p.Place(id, id < 4 ? 1 : 2, 0, 0);
+  Time now = seconds(100);
+  for (int i = 0; i < 40; ++i) {
+    for (ServerId id : {0u, 1u, 2u}) p.Answered(id, now, milliseconds(90), false);
+    for (ServerId id : {4u, 5u, 6u, 7u}) p.Answered(id, now, milliseconds(30), false);
+    now += milliseconds(100);
+  }
+  // Server 3 has not answered once, and its kind speaks for it.
+  EXPECT_EQ(p.Looks(3, now), 0);
+  EXPECT_GT(p.Slower(3, now), 0.25);
+  EXPECT_LT(p.Slower(5, now), -0.25);
+  // One slow answer of one server is not evidence against it: its kind still says that it is quick.
+  p.Place(7, 2, 0, 0);
+  p.Answered(7, now, milliseconds(300), false);
+  EXPECT_LT(p.Slower(7, now), 0.1);
+}
+
+TEST(Paces, WeightsMoveBySmallStepsTowardsEqualTimesAndStayForChance) {
+  Paces p;
+  for (ServerId id = 0; id < 4; ++id) p.Place(id, static_cast<int>(id), 0, 0);
+  Time now = seconds(100);
+  double before = 1;
+  for (int i = 0; i < 100; ++i, now += milliseconds(100)) {
+    p.Answered(0, now, milliseconds(120), false);
+    for (ServerId id : {1u, 2u, 3u}) p.Answered(id, now, milliseconds(i % 2 ? 38 : 42), false);
+    p.Step(now);
+    EXPECT_GT(p.Weight(0), 0.93 * before) << "more than a step at once";
+    before = p.Weight(0);
+  }
+  EXPECT_LT(p.Weight(0), 0.7);
+  EXPECT_EQ(p.Weight(1), p.Weight(2)) << "what differs by chance alone stays together";
+  // Once it is as quick as the others it has its part again.
+  for (int i = 0; i < 600; ++i, now += milliseconds(100)) {
+    for (ServerId id : {0u, 1u, 2u, 3u}) p.Answered(id, now, milliseconds(40), false);
+    p.Step(now);
+  }
+  EXPECT_GT(p.Weight(0), 0.8);
+}
+
+TEST(Paces, WhatTheListStatesIsWhereItStartsAndIsBounded) {
+  const double nan = std::numeric_limits<double>::quiet_NaN();
+  struct Row {
+    double size, least, most;
+  } rows[] = {{0, 0.9, 1.1}, {-3, 0.9, 1.1}, {nan, 0.9, 1.1}, {1e300, 2, Paces::kMost}, {2, 1.3, 2.0}};
+  for (const Row& row : rows) {
+    Paces p;
+    for (ServerId id = 0; id < 6; ++id) p.Place(id, 0, 0, 1);
+    p.Place(6, 1, 0, row.size);
+    EXPECT_GE(p.Weight(6), row.least) << row.size;
+    EXPECT_LE(p.Weight(6), row.most) << row.size;
+    EXPECT_GE(p.Weight(0), Paces::kLeast) << row.size;
+    EXPECT_TRUE(std::isfinite(p.Weight(0)));
+  }
+  // A size that changes with every list moves its weight by one step at a time.
+  Paces p;
+  for (ServerId id = 0; id < 6; ++id) p.Place(id, 0, 0, 1);
+  Time now = seconds(100);
+  for (int i = 0; i < 50; ++i, now += seconds(1)) {
+    const double before = p.Weight(0);
+    p.Resize(0, i % 2 ? 1e-9 : 1e9);
+    p.Step(now);
+    EXPECT_LT(std::abs(std::log(p.Weight(0) / before)), 0.07);
+  }
+}
+
+TEST(Paces, NewKindsWithoutEndStayBounded) {
+  Paces p;
+  Time now = seconds(100);
+  for (int kind = 0; kind < 4096; ++kind) {
+    p.Place(static_cast<ServerId>(kind), kind, kind % 3, 1);
+    p.Answered(static_cast<ServerId>(kind), now, milliseconds(40), false);
+  }
+  for (ServerId id = 0; id < 4096; ++id) EXPECT_NEAR(p.Slower(id, now), 0, 1e-6);
+  p.Step(now + seconds(1));
+}
+
+TEST(Paces, ASuccessorStartsWithoutWhatWasLearntOfTheOneBefore) {
+  Paces p;
+  for (ServerId id = 0; id < 3; ++id) p.Place(id, 0, 0, 0);
+  Time now = seconds(100);
+  for (int i = 0; i < 50; ++i) {
+    p.Answered(0, now, milliseconds(400), false);
+    for (ServerId id : {1u, 2u}) p.Answered(id, now, milliseconds(40), false);
+  }
+  const double slow = p.Slower(0, now);
+  p.Place(0, 0, 0, 0);
+  EXPECT_LT(p.Slower(0, now), 0.7 * slow);
+  EXPECT_EQ(p.Looks(0, now), 0);
+}
+
+// Of 4 warm servers' worth of requests, what a cold one got from 3 s to 8 s of its ramp, as a part of what
+// it may be sent (fall_multiple times what it can do then).
+double ColdPart(Duration cold_takes) {
+  Settings settings = PlainSettings();
+  settings.origin = Origin::kAside;
+  settings.origin_kind = 7;
+  Driver d(settings);
+  d.Servers(4);
+  for (int i = 0; i < 2000; ++i) d.Serve("w" + std::to_string(i), milliseconds(5));
+  const Time start = d.now;
+  d.List(ListKind::kChanges, {Up(9, start)});
+  int cold = 0;
+  double allowed = 0;
+  while (d.now < start + seconds(8)) {
+    const int to = d.Ask("c" + std::to_string(d.last_id));
+    const RequestId id = d.last_id;
+    d.Pass(milliseconds(5));
+    const Duration more = to == 9 ? cold_takes - milliseconds(5) : Duration(0);
+    d.Pass(more);
+    d.Ends(id, 0, Result::kOk, milliseconds(5) + more);
+    const double age = std::chrono::duration<double>(d.now - start).count();
+    if (age < 3) continue;
+    cold += to == 9;
+    if (to != 9) allowed += 3 * (0.2 + 0.8 * age / 20) / 4;
+  }
+  return cold / allowed;
+}
+
+// Guards against cold servers at ease beside warm ones that drown (a fleet that has lost some servers), and
+// against pushing on one whose answers say that it has enough.
+TEST(Paces, AColdServerAtEaseGetsMoreAndASlowOneDoesNot) {
+  EXPECT_GT(ColdPart(milliseconds(5)), 0.6);
+  EXPECT_LT(ColdPart(milliseconds(25)), 0.65);
+  EXPECT_GT(ColdPart(milliseconds(5)), 1.25 * ColdPart(milliseconds(25)));
+}
+
+}  // namespace
+}  // namespace beechledge::testing
