--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The usual tasks. PROXY_CONFIG (and the other PROXY_* variables) go to `make run` as they are.
-.PHONY: build test lint run lab demo
+.PHONY: build test lint run lab demo fleet
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
@@ -23,3 +23,8 @@
 # Half a minute of a small fleet with one fault, and where the report of it lies.
 demo: lab
 	build/lab/brasswood-lab run demo --out lab-out/demo
+
+# The full set of large fleets, some minutes; rules and expectations are judged for each.
+fleet: lab
+	for s in equal unequal 300 quarter-cut links partition machine-drop neighbour; do \
+	  build/lab/brasswood-lab run fleet-$$s --quiet --out lab-out/fleet-$$s || exit 1; done
--- a/lab/base/plan.h
+++ b/lab/base/plan.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "lab/base/rng.h"
@@ -47,6 +48,46 @@
   return all;
 }
 
+// The routers that a fault of links concerns: a part of all of them, drawn apart from its nodes.
+inline std::vector<int> VictimRouters(const Scenario& s, std::size_t number) {
+  const int all = static_cast<int>(s.halls.size()) * s.routers.per_hall;
+  std::vector<int> routers;
+  for (int r = 0; r < all; ++r) routers.push_back(r);
+  Rng rng = MakeRng(Mix(s.seed * 137 + number), Stream::kFaults);
+  std::shuffle(routers.begin(), routers.end(), rng);
+  routers.resize(static_cast<std::size_t>(std::ceil(s.faults[number].router_part * all)));
+  return routers;
+}
+
+// The group of a partition that a router (or node) falls into: the same count of each, as far as it goes.
+inline std::vector<int> Groups(const Scenario& s, std::size_t number, std::size_t count,
+                               std::uint64_t salt) {
+  std::vector<int> groups;
+  for (std::size_t i = 0; i < count; ++i) {
+    groups.push_back(static_cast<int>(i % static_cast<std::size_t>(s.faults[number].size)));
+  }
+  Rng rng = MakeRng(Mix(s.seed * 139 + number * 3 + salt), Stream::kFaults);
+  std::shuffle(groups.begin(), groups.end(), rng);
+  return groups;
+}
+
+// Which of the nodes that a run begins with (numbered as machines: from 1) vanish in a machine_drop, and
+// the router that shares the machine with each.
+inline std::vector<std::pair<int, int>> Dropped(const Scenario& s, std::size_t number) {
+  std::vector<std::pair<int, int>> all;
+  std::vector<int> in_hall(s.halls.size());
+  int node = 0;
+  for (const NodePlan& plan : s.nodes) {
+    for (int i = 0; i < plan.count; ++i) {
+      const auto hall = static_cast<std::size_t>(plan.hall);
+      const int router = plan.hall * s.routers.per_hall + in_hall[hall]++ % s.routers.per_hall;
+      ++node;
+      if (s.faults[number].hall < 0 || s.faults[number].hall == plan.hall) all.emplace_back(node, router);
+    }
+  }
+  return Victims(s, number, std::move(all));
+}
+
 // The key of that rank of popularity.
 inline std::string KeyName(long long rank) { return "pkg-" + std::to_string(rank); }
 
--- a/lab/base/scenario.cpp
+++ b/lab/base/scenario.cpp
@@ -77,7 +77,22 @@
   f.batch = in.Number("batch", 0.1, 0.001, 1);
   f.drain = Ms(in.Number("drain_ms", 1500, 0, 600000));
   f.origin = in.Flag("origin", false);
-  const bool on_nodes = f.kind <= FaultKind::kReplace && !f.origin;
+  f.router_part = in.Number("router_part", 1, 0, 1);
+  f.back_only = in.Word("way", "both", {"both", "back"}) == 1;
+  f.delay = Ms(in.Number("delay_ms", 0, 0, 60000));
+  f.jitter = Ms(in.Number("jitter_ms", 0, 0, 60000));
+  const bool link =
+      f.kind == FaultKind::kLinkCut || f.kind == FaultKind::kLinkSlow || f.kind == FaultKind::kLinkLossy;
+  const bool on_nodes = (f.kind <= FaultKind::kReplace && !f.origin) || link ||
+                        f.kind == FaultKind::kMachineDrop || f.kind == FaultKind::kCapacityDrop;
+  if (f.back_only && f.kind != FaultKind::kLinkCut)
+    in.Complain("way", "goes with kind = \"link_cut\" only");
+  if (f.kind == FaultKind::kLinkSlow && f.delay + f.jitter <= Duration(0)) {
+    in.Complain("delay_ms", "is missing: by how much answers are delayed");
+  }
+  if (f.kind == FaultKind::kPartition && (f.size < 2 || f.size > 16)) {
+    in.Complain("size", "must name between 2 and 16 groups");
+  }
   if ((on_nodes || f.kind == FaultKind::kKill) && f.part <= 0 && f.count <= 0) {
     in.Complain("part", "is missing: name a part (a share) or a count of machines");
   }
@@ -171,9 +186,13 @@
   origin.Finish();
   TomlReader discovery = in.Table("discovery");
   s.discovery.late = Ms(discovery.Number("late_ms", 300, 0, 60000));
+  s.discovery.states_size = discovery.Word("weights", "nominal", {"none", "nominal"}) == 1;
   discovery.Finish();
   TomlReader routers = in.Table("routers");
-  s.routers.per_hall = routers.Whole("per_hall", s.routers.per_hall, 1, 32);
+  s.routers.per_hall = routers.Whole("per_hall", s.routers.per_hall, 1, 512);
+  if (s.halls.size() * static_cast<std::size_t>(s.routers.per_hall) > 512) {
+    routers.Complain("per_hall", "makes more than 512 routers in all");
+  }
   s.routers.memory_mb = routers.Number("memory_mb", s.routers.memory_mb, 16, 65536);
   s.routers.sockets = routers.Whole("sockets", s.routers.sockets, 64, 1000000);
   routers.Finish();
--- a/lab/base/scenario.h
+++ b/lab/base/scenario.h
@@ -63,7 +63,8 @@
 };
 
 struct DiscoveryPlan {
-  Duration late{0};  // from a change until it is listed
+  Duration late{0};         // from a change until it is listed
+  bool states_size = true;  // capacity_hint is a node's size, and the settings say so; else always 1
 };
 
 struct RouterPlan {
@@ -95,39 +96,49 @@
 };
 
 enum class FaultKind {
-  kHang,        // nodes take commands and answer none
-  kSlow,        // nodes, or the origin, work at `size` of their speed
-  kReset,       // `share` of a node's answers is a reset connection instead
-  kRefuse,      // nodes are dead: connections reset, new ones refused
-  kHalf,        // `share` of a node's answers breaks off half-way
-  kGarbage,     // `share` of a node's answers is noise
-  kSilent,      // nodes are cut off: nothing is read, new connections never come up
-  kDrain,       // nodes are listed as terminating, and gone after the fault's length
-  kReplace,     // nodes are replaced one batch after the other by cold successors
-  kKill,        // routers are killed and, after the fault's length, started again
-  kDiscovery,   // discovery is down
-  kOriginStop,  // the origin answers nothing and takes no connection
-  kHotKey,      // `share` of the arrivals goes to `size` keys
-  kBurst,       // arrivals come `size` times as often
-  kHeavy,       // `share` of the jobs costs `size` times the work
-  kHallCut,     // all nodes of a hall are cut off from every router
-  kFlood        // one address holds `size` silent connections at each router
+  kHang,         // nodes take commands and answer none
+  kSlow,         // nodes, or the origin, work at `size` of their speed
+  kReset,        // `share` of a node's answers is a reset connection instead
+  kRefuse,       // nodes are dead: connections reset, new ones refused
+  kHalf,         // `share` of a node's answers breaks off half-way
+  kGarbage,      // `share` of a node's answers is noise
+  kSilent,       // nodes are cut off: nothing is read, new connections never come up
+  kDrain,        // nodes are listed as terminating, and gone after the fault's length
+  kReplace,      // nodes are replaced one batch after the other by cold successors
+  kKill,         // routers are killed and, after the fault's length, started again
+  kDiscovery,    // discovery is down
+  kOriginStop,   // the origin answers nothing and takes no connection
+  kHotKey,       // `share` of the arrivals goes to `size` keys
+  kBurst,        // arrivals come `size` times as often
+  kHeavy,        // `share` of the jobs costs `size` times the work
+  kHallCut,      // all nodes of a hall are cut off from every router
+  kLinkCut,      // some routers and some nodes do not reach each other, or only one way
+  kLinkSlow,     // answers between them take longer
+  kLinkLossy,    // `share` of the answers between them is a reset or silent connection instead
+  kPartition,    // routers and nodes fall into `size` groups that do not reach each other
+  kMachineDrop,  // a machine with its node and the router on it vanishes, and starts again after the length
+  kCapacityDrop,  // a neighbour takes `share` of the nodes' cores
+  kFlood          // one address holds `size` silent connections at each router
 };
 inline constexpr std::string_view kFaultNames[] = {
-    "hang",    "slow",  "reset",   "refuse",      "half",           "garbage",
-    "silent",  "drain", "replace", "kill_router", "discovery_down", "origin_stop",
-    "hot_key", "burst", "heavy",   "hall_cut",    "flood"};
+    "hang",       "slow",      "reset",        "refuse",        "half",           "garbage",
+    "silent",     "drain",     "replace",      "kill_router",   "discovery_down", "origin_stop",
+    "hot_key",    "burst",     "heavy",        "hall_cut",      "link_cut",       "link_slow",
+    "link_lossy", "partition", "machine_drop", "capacity_drop", "flood"};
 
 struct FaultPlan {
   FaultKind kind = FaultKind::kHang;
-  Duration at{0}, length{0};   // from the start of the load
-  double part = 0;             // share of the nodes (or routers), of `hall` where one is named
-  int count = 0;               // or how many of them
-  int hall = -1;               // -1: any
-  double size = 1, share = 1;  // by kind
-  double batch = 0.1;          // of a replacement: share of the fleet at a time
-  Duration drain{0};           // of a replacement: from its drain to its end
-  bool origin = false;         // kSlow: the origin, not nodes
+  Duration at{0}, length{0};     // from the start of the load
+  double part = 0;               // share of the nodes (or routers), of `hall` where one is named
+  int count = 0;                 // or how many of them
+  int hall = -1;                 // -1: any
+  double size = 1, share = 1;    // by kind
+  double batch = 0.1;            // of a replacement: share of the fleet at a time
+  Duration drain{0};             // of a replacement: from its drain to its end
+  bool origin = false;           // kSlow: the origin, not nodes
+  double router_part = 1;        // of faults of links: share of the routers
+  bool back_only = false;        // kLinkCut: commands arrive, answers do not
+  Duration delay{0}, jitter{0};  // kLinkSlow
 };
 
 // What the routers are told of the rules, and what the judge holds them to.
--- a/lab/report/figures.cpp
+++ b/lab/report/figures.cpp
@@ -50,6 +50,8 @@
     TakeClaims();
     TakeRouters();
     TakeFaults();
+    f_.spread = MeasureSpread(t_);
+    f_.ready_s = outcome_.ready_s;
     return std::move(f_);
   }
 
@@ -293,6 +295,12 @@
       {"closed at rest", "share", false, f.crossed_share},
       {"origin peak", "of capacity", false, f.origin_peak},
       {"router CPU per request", "us", false, f.cpu_us_per_request},
+      {"busiest node", "of the mean", false, f.spread.busiest},
+      {"idlest node", "of the mean", true, f.spread.idlest},
+      {"variation of use", "", false, f.spread.variation},
+      {"Jain's index", "", true, f.spread.jain},
+      {"node idle beside a busy one", "s", false, f.spread.idle_s},
+      {"herd", "", false, f.spread.herd},
   };
   if (!f.faults.empty()) {
     all.push_back({"time to recover", "s", false, recovered});
--- a/lab/report/figures.h
+++ b/lab/report/figures.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "lab/report/spread.h"
 #include "lab/run/experiment.h"
 
 namespace brasswood::lab {
@@ -79,6 +80,8 @@
   double cpu_us_per_request = 0;       // of the routers
   double origin_peak = 0;              // the highest load of any second
   std::uint64_t origin_falls = 0;
+  SpreadFigures spread;
+  double ready_s = 0;  // from the first router's start until all were ready
   std::vector<Bin> bins;
   std::vector<NodeFigures> nodes;
   std::vector<FaultFigures> faults;
--- a/lab/report/html.cpp
+++ b/lab/report/html.cpp
@@ -165,6 +165,33 @@
   return line;
 }
 
+// Use of each node, second by second: a column a second, a row a node, darker the fuller, red past its all.
+std::string HeatMap(const Figures& f) {
+  constexpr double kWide = 784, kRow = 9;
+  std::ostringstream out;
+  std::size_t rows = 0, seconds = 0;
+  for (const auto& row : f.spread.use) seconds = std::max(seconds, row.size());
+  if (seconds == 0) return {};
+  const double wide = kWide / static_cast<double>(seconds);
+  for (std::size_t m = 0; m < f.spread.use.size(); ++m) {
+    if (f.spread.use[m].empty()) continue;
+    for (std::size_t second = 0; second < seconds; ++second) {
+      const double use = f.spread.use[m][second];
+      if (use <= 0) continue;
+      out << "<rect x='" << 64 + wide * static_cast<double>(second) << "' y='"
+          << 4 + kRow * static_cast<double>(rows) << "' width='" << wide << "' height='" << kRow
+          << "' fill='" << (use > 1 ? "#b3400b" : "#0072b2") << "' opacity='" << std::min(1.0, use)
+          << "'/>";
+    }
+    ++rows;
+  }
+  std::ostringstream all;
+  all << "<figure><figcaption>Use of the nodes <small>(a row each, second by second; darker is fuller, red "
+         "is more than it can do)</small></figcaption><svg viewBox='0 0 860 "
+      << 12 + kRow * static_cast<double>(rows) << "' role='img'>" << out.str() << "</svg></figure>";
+  return all.str();
+}
+
 std::string NodeTable(const Figures& f) {
   double most = 0.01;
   for (const NodeFigures& n : f.nodes) most = std::max(most, n.load);
@@ -264,7 +291,7 @@
       << Escape(s.name) << ": <span class='" << Name(Decide(outcome, f)) << "'>" << Name(Decide(outcome, f))
       << "</span></h1><p>" << Escape(s.about) << "</p><pre>" << Escape(Summary(outcome, f)) << "</pre>";
   for (const Plot& plot : plots) out << Drawing(plot, f, length).Draw();
-  out << NodeTable(f);
+  out << HeatMap(f) << NodeTable(f);
   if (!outcome.breaches.empty()) {
     out << "<h2>Broken rules</h2><pre>";
     for (std::size_t i = 0; i < outcome.breaches.size() && i < 20; ++i) {
--- /dev/null
+++ b/lab/report/spread.cpp
@@ -0,0 +1,90 @@
+#include "lab/report/spread.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace brasswood::lab {
+namespace {
+
+constexpr int kTenths = 10;  // of a second
+constexpr double kIdle = 0.05, kBusy = 0.8;
+constexpr double kLeastExpected = 0.2;  // fewer claims than this say nothing of a herd
+
+}  // namespace
+
+SpreadFigures MeasureSpread(const Truth& t) {
+  SpreadFigures f;
+  const Scenario& s = t.scenario;
+  const auto seconds = static_cast<std::size_t>(s.length / std::chrono::seconds(1));
+  const auto first = static_cast<std::size_t>(s.warm_up / std::chrono::seconds(1));
+  const std::size_t machines = t.world.machines.size();
+  std::vector<std::vector<float>> count(machines, std::vector<float>(seconds * kTenths));
+  std::vector<float> asked(seconds * kTenths);
+  for (const Intent& i : t.load.intents) {
+    const auto tenth = static_cast<std::size_t>((i.at - t.start) / std::chrono::milliseconds(100));
+    if (i.at >= t.start && tenth < asked.size()) ++asked[tenth];
+  }
+  std::vector<double> work(machines);
+  f.use.assign(machines, std::vector<float>(seconds));
+  f.use[kOrigin].clear();
+  for (const ClaimRecord& c : t.world.claims) {
+    if (c.machine == kOrigin || c.whole < t.start) continue;
+    const auto tenth = static_cast<std::size_t>((c.whole - t.start) / std::chrono::milliseconds(100));
+    if (tenth >= seconds * kTenths) continue;
+    const auto m = static_cast<std::size_t>(c.machine);
+    f.use[m][tenth / kTenths] += c.work_s / static_cast<float>(t.world.machines[m].capacity.full);
+    ++count[m][tenth];
+    if (tenth / kTenths >= first) work[m] += c.work_s;
+  }
+  // Of the nodes that were there for the whole counted run: one that came or went has a use of its own.
+  const Time from = t.start + s.warm_up, until = t.start + s.length;
+  double total = 0, squares = 0, capacity = 0;
+  std::vector<double> uses;
+  for (std::size_t m = 1; m < machines; ++m) {
+    const MachineRecord& r = t.world.machines[m];
+    if (r.capacity.started > from || (r.gone != Time(0) && r.gone < until)) continue;
+    const double use = work[m] / (r.capacity.full * static_cast<double>(seconds - first));
+    uses.push_back(use);
+    total += use * r.capacity.full;
+    squares += use * use * r.capacity.full;
+    capacity += r.capacity.full;
+  }
+  if (total > 0) {
+    const double mean = total / capacity;
+    f.busiest = *std::max_element(uses.begin(), uses.end()) / mean;
+    f.idlest = *std::min_element(uses.begin(), uses.end()) / mean;
+    f.variation = std::sqrt(std::max(0.0, squares / capacity - mean * mean)) / mean;
+    f.jain = total * total / (capacity * squares);
+  }
+  std::vector<double> excess;
+  for (std::size_t second = first; second < seconds; ++second) {
+    bool busy = false;
+    int idle = 0;
+    for (std::size_t m = 1; m < machines; ++m) {
+      const MachineRecord& r = t.world.machines[m];
+      const Time at = t.start + std::chrono::seconds(second);
+      if (r.capacity.started > at || (r.gone != Time(0) && r.gone < at)) continue;
+      busy |= f.use[m][second] > kBusy;
+      idle += f.use[m][second] < kIdle;
+      double mine = 0, everyone = 0;
+      for (std::size_t i = second * kTenths; i < (second + 1) * kTenths; ++i) {
+        mine += count[m][i];
+        everyone += asked[i];
+      }
+      for (std::size_t i = second * kTenths; everyone > 0 && i < (second + 1) * kTenths; ++i) {
+        const double expected = mine / everyone * asked[i];
+        if (expected >= kLeastExpected) excess.push_back((count[m][i] - expected) / std::sqrt(expected));
+      }
+    }
+    if (busy) f.idle_s += idle;
+  }
+  if (!excess.empty()) {
+    const auto at =
+        excess.begin() + static_cast<std::ptrdiff_t>(0.999 * static_cast<double>(excess.size()));
+    std::nth_element(excess.begin(), at, excess.end());
+    f.herd = *at;
+  }
+  return f;
+}
+
+}  // namespace brasswood::lab
--- a/lab/report/write.cpp
+++ b/lab/report/write.cpp
@@ -164,6 +164,14 @@
       j.Put("turned_away", n.turned_away);
       j.Put("load", n.load);
     });
+    j.Object("spread", [&] {
+      j.Put("busiest", f.spread.busiest);
+      j.Put("idlest", f.spread.idlest);
+      j.Put("variation", f.spread.variation);
+      j.Put("jain", f.spread.jain);
+      j.Put("idle_s", f.spread.idle_s);
+      j.Put("herd", f.spread.herd);
+    });
     j.Array("routers", f.routers, [&](const RouterFigures& r) {
       j.Put("cpu_share", r.cpu_share);
       j.Put("memory_mb", r.memory_mb);
@@ -184,6 +192,8 @@
       j.Put("schedule_late_p999_ms", static_cast<double>(t.load.late_p999.count()) / 1e6);
       j.Put("schedule_late_max_ms", static_cast<double>(t.load.late_max.count()) / 1e6);
       j.Put("emulator_lag_max_ms", static_cast<double>(t.world.lag.count()) / 1e6);
+      j.Put("routers_ready_s", f.ready_s);
+      j.Put("emulator_late", t.world.late);
       j.Put("emulator_cpu_s", static_cast<double>(t.world.cpu.count()) / 1e9);
       j.Put("load_cpu_s", static_cast<double>(t.load.cpu.count()) / 1e9);
       j.Put("connections", t.load.connections);
@@ -223,7 +233,14 @@
       << ", met closed at rest " << f.crossed_share << "\n"
       << "  origin at most at " << f.origin_peak << " of its capacity, fell " << f.origin_falls
       << " times; router CPU " << std::setprecision(0) << f.cpu_us_per_request << " us a request\n";
-  out << std::setprecision(2);
+  out << std::setprecision(2) << "  use of the nodes: busiest " << f.spread.busiest << ", idlest "
+      << f.spread.idlest << " of the mean, variation " << std::setprecision(3) << f.spread.variation
+      << ", Jain " << f.spread.jain << ", idle beside a busy one " << std::setprecision(0)
+      << f.spread.idle_s << " s, herd " << std::setprecision(1) << f.spread.herd << "\n"
+      << "  laboratory: " << f.routers.size() << " routers ready in " << std::setprecision(2) << f.ready_s
+      << " s, emulator " << static_cast<double>(outcome.truth.world.cpu.count()) / 1e9 << " s and load "
+      << static_cast<double>(outcome.truth.load.cpu.count()) / 1e9 << " s of their cores, emulator at most "
+      << InMs(outcome.truth.world.lag) << " late\n";
   for (const FaultFigures& x : f.faults) {
     out << "  " << x.kind << " from " << x.from_s << " to " << x.until_s << " s: in time " << x.before
         << " before, " << x.lowest << " in the worst second; ";
--- a/lab/run/experiment.cpp
+++ b/lab/run/experiment.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <filesystem>
+#include <fstream>
 #include <memory>
 #include <thread>
 
@@ -18,6 +19,27 @@
 
 // The laboratory may lag by this much and still judge: limits on time are widened by what it did lag.
 constexpr Duration kMostLag = milliseconds(250);
+// And be late by more than 20 ms so seldom, and use so much of its core, or of the machine's cores: past
+// these it measures itself.
+constexpr double kMostLate = 0.02, kMostOwnCore = 0.85, kLeastIdle = 0.04;
+constexpr Duration kReadyWithin = std::chrono::seconds(20);
+
+// Of all cores, in ticks since the machine started.
+struct MachineTime {
+  double idle = 0, all = 0;
+  static MachineTime Read() {
+    MachineTime t;
+    std::ifstream in("/proc/stat");
+    std::string cpu;
+    in >> cpu;
+    double ticks = 0;
+    for (int i = 0; i < 8 && in >> ticks; ++i) {
+      t.all += ticks;
+      if (i == 3 || i == 4) t.idle += ticks;  // idle, and waiting for a disk
+    }
+    return t;
+  }
+};
 
 class Run {
  public:
@@ -42,17 +64,20 @@
     Load load(s, entries);
     // The platform runs before the routers do: they ask discovery at once.
     std::thread platform([&] { world_.Run(); });
+    const Time launched = clock_.Now();
     for (const auto& router : routers_) Launch(*router);
     std::thread clients;
     bool ready = true;
+    const Time until = clock_.Now() + kReadyWithin;
     for (std::size_t r = 0; r < routers_.size(); ++r) {
-      ready = AwaitReady(*routers_[r]);
+      ready = AwaitReady(*routers_[r], until);
       if (!ready) {
         out_.troubles.push_back("router " + std::to_string(r) + " is not ready; its log is " +
                                 routers_[r]->log());
         break;
       }
     }
+    out_.ready_s = static_cast<double>((clock_.Now() - launched).count()) / 1e9;
     if (ready) {
       const Time start = clock_.Now() + milliseconds(200);
       out_.truth.start = start;
@@ -62,7 +87,11 @@
         load.Run(start);
         done = true;
       });
+      const MachineTime before = MachineTime::Read();
       Watch(load, done);
+      const MachineTime after = MachineTime::Read();
+      if (after.all > before.all) idle_ = (after.idle - before.idle) / (after.all - before.all);
+      played_ = Since();
       load.Stop();
       clients.join();
     }
@@ -72,7 +101,7 @@
     out_.truth.world = world_.TakeTruth();
     out_.truth.load = load.TakeTruth();
     if (!ready) return std::move(out_);
-    Weigh();
+    Weigh(out_, {idle_, static_cast<double>(played_.count()) / 1e9});
     if (!options_.direct) out_.breaches = Judge(out_.truth);
     return std::move(out_);
   }
@@ -82,6 +111,9 @@
   static void RaiseDescriptorLimit() {
     rlimit limit{};
     if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+    // A privileged user may go past the hard limit; an ordinary one makes do with it.
+    const rlimit more{std::max<rlim_t>(limit.rlim_max, 200000), std::max<rlim_t>(limit.rlim_max, 200000)};
+    if (::setrlimit(RLIMIT_NOFILE, &more) == 0) return;
     limit.rlim_cur = limit.rlim_max;
     ::setrlimit(RLIMIT_NOFILE, &limit);
   }
@@ -95,8 +127,7 @@
     router.Start(world_.DiscoveryEndpoint(number), world_.Known(number));
   }
 
-  bool AwaitReady(RouterProcess& router) {
-    const Time until = clock_.Now() + std::chrono::seconds(20);
+  bool AwaitReady(RouterProcess& router, Time until) {
     while (clock_.Now() < until && !router.Ended()) {
       if (router.Ready(milliseconds(200))) return true;
     }
@@ -112,6 +143,21 @@
     std::vector<Step> steps;
     for (std::size_t i = 0; i < out_.truth.scenario.faults.size(); ++i) {
       const FaultPlan& f = out_.truth.scenario.faults[i];
+      if (f.kind == FaultKind::kMachineDrop) {
+        for (const auto& [machine, r] : Dropped(out_.truth.scenario, i)) {
+          RouterProcess* router = routers_.empty() ? nullptr : routers_[static_cast<std::size_t>(r)].get();
+          if (router == nullptr) continue;
+          steps.push_back({f.at, [this, r, router] {
+                             out_.truth.absences.push_back({r, clock_.Now(), Time::max()});
+                             router->Freeze();
+                           }});
+          steps.push_back({f.at + f.length, [this, r, router] {
+                             router->Kill();
+                             Launch(*router);
+                             back_.push_back(r);
+                           }});
+        }
+      }
       if (f.kind != FaultKind::kKill) continue;
       for (const int r : Killed(f, i)) {
         steps.push_back({f.at, [this, r] {
@@ -142,9 +188,9 @@
       });
       if (Since() - sampled >= milliseconds(250)) {
         sampled = Since();
-        Look();
         if (options_.progress) options_.progress(Since(), load.sent(), load.served());
       }
+      Look();
       std::this_thread::sleep_for(milliseconds(5));
     }
   }
@@ -157,8 +203,14 @@
     return Victims(out_.truth.scenario, number, std::move(all));
   }
 
+  // Each router twice a second, a few of them at a time: hundreds at once would hold the timeline up.
   void Look() {
+    const auto turn = static_cast<std::size_t>(Since() / milliseconds(5)) % 100;
+    if (turn == looked_) return;
+    const std::size_t from = looked_ < turn ? looked_ + 1 : 0;
+    looked_ = turn;
     for (std::size_t r = 0; r < routers_.size(); ++r) {
+      if (r % 100 < from || r % 100 > turn) continue;
       if (const auto code = routers_[r]->Ended()) {
         out_.troubles.push_back("router " + std::to_string(r) +
                                 " ended by itself: " + std::to_string(*code));
@@ -182,29 +234,49 @@
     }
   }
 
-  void Weigh() {
-    const Truth& t = out_.truth;
-    if (t.load.late_p999 > t.scenario.load.late_limit) {
-      out_.void_because.push_back("the load ran " + InMs(t.load.late_p999) +
-                                  " behind its schedule (99.9th percentile; " +
-                                  InMs(t.scenario.load.late_limit) + " allowed)");
-    }
-    if (t.world.lag > kMostLag) {
-      out_.void_because.push_back("the emulator's loop ran " + InMs(t.world.lag) + " late (" +
-                                  InMs(kMostLag) + " allowed)");
-    }
-  }
-
   const RunOptions& options_;
   Clock clock_;
   World world_;
   Outcome out_;
   std::vector<std::unique_ptr<RouterProcess>> routers_;
-  std::vector<int> back_;  // restarted, and not ready yet
+  std::vector<int> back_;    // restarted, and not ready yet
+  std::size_t looked_ = 99;  // the turn of Look that was last
+  double idle_ = 1;          // of the machine's cores while the load ran
+  Duration played_{0};
 };
 
 }  // namespace
 
+void Weigh(Outcome& out, const Spare& spare) {
+  const Truth& t = out.truth;
+  if (t.load.late_p999 > t.scenario.load.late_limit) {
+    out.void_because.push_back("the load ran " + InMs(t.load.late_p999) +
+                               " behind its schedule (99.9th percentile; " +
+                               InMs(t.scenario.load.late_limit) + " allowed)");
+  }
+  const double played = spare.played_s;
+  const auto share = [](double part) { return std::to_string(static_cast<int>(part * 100)) + "%"; };
+  const double beats = std::max(1.0, played / 0.005);
+  if (static_cast<double>(t.world.late) / beats > kMostLate) {
+    out.void_because.push_back("the emulator's loop was late " + std::to_string(t.world.late) + " times (" +
+                               share(kMostLate) + " of its beats allowed)");
+  }
+  for (const auto& [who, cpu] : {std::pair("emulator", t.world.cpu), std::pair("load", t.load.cpu)}) {
+    const double of_core = static_cast<double>(cpu.count()) / 1e9 / std::max(0.1, played);
+    if (of_core <= kMostOwnCore) continue;
+    out.void_because.push_back(std::string("the ") + who + " used " + share(of_core) + " of its core (" +
+                               share(kMostOwnCore) + " allowed)");
+  }
+  if (spare.idle < kLeastIdle) {
+    out.void_because.push_back("the machine's cores stood idle for " + share(spare.idle) + " of the run (" +
+                               share(kLeastIdle) + " at least)");
+  }
+  if (t.world.lag > kMostLag) {
+    out.void_because.push_back("the emulator's loop ran " + InMs(t.world.lag) + " late (" + InMs(kMostLag) +
+                               " allowed)");
+  }
+}
+
 Outcome RunOnce(const Scenario& scenario, const RunOptions& options) {
   return Run(scenario, options).Play();
 }
--- a/lab/run/experiment.h
+++ b/lab/run/experiment.h
@@ -32,6 +32,7 @@
   std::vector<Sample> samples;
   std::vector<Breach> breaches;
   std::vector<std::string> troubles;  // routers that would not start, crashed or would not stop
+  double ready_s = 0;                 // from the first start until all routers were ready
   double router_cpu_s = 0;            // of all router processes together
   bool partial = false;               // it was interrupted
   // Why the figures mean nothing, where they do: the laboratory itself could not keep up.
@@ -39,6 +40,14 @@
 };
 
 // Throws std::runtime_error where the platform cannot be set up at all.
+// What the machine had left while the load ran.
+struct Spare {
+  double idle = 1;      // share of its cores' time
+  double played_s = 0;  // for so long
+};
+// Says why the figures mean nothing, if so: load, emulator or machine could not keep up.
+void Weigh(Outcome& outcome, const Spare& spare);
+
 Outcome RunOnce(const Scenario& scenario, const RunOptions& options);
 
 }  // namespace brasswood::lab
--- a/lab/run/router_process.cpp
+++ b/lab/run/router_process.cpp
@@ -54,7 +54,8 @@
                              std::string folder)
     : scenario_(scenario), number_(number), command_(std::move(command)), folder_(std::move(folder)) {
   // The address is one that nothing else uses, so the port found free stays free for the router.
-  ::close(Listening("127.0.3." + std::to_string(1 + number % 250), listen_));
+  ::close(Listening("127.0." + std::to_string(3 + number / 250) + "." + std::to_string(1 + number % 250),
+                    listen_));
   ::unlink(log().c_str());
 }
 
@@ -106,7 +107,7 @@
   for (const std::string& k : kinds) w.String(k.c_str());
   w.EndArray();
   str("registry_mode", "on_request");
-  str("weights", "nominal");
+  str("weights", s.discovery.states_size ? "nominal" : "none");
   str("worth_by", "request");
   num("over_share_worth", 0.1);
   w.Key("classes");
@@ -246,6 +247,10 @@
   Reap(0);
 }
 
+void RouterProcess::Freeze() {
+  if (pid_ > 0) ::kill(pid_, SIGSTOP);
+}
+
 void RouterProcess::Terminate() {
   if (pid_ > 0) ::kill(pid_, SIGTERM);
 }
--- a/lab/run/router_process.h
+++ b/lab/run/router_process.h
@@ -35,7 +35,8 @@
   void Start(const std::string& discovery, const std::string& known);
   // Does it answer `mn` with MN within `patience`?
   bool Ready(Duration patience) const;
-  void Kill();  // -9, and waits for it
+  void Kill();    // -9, and waits for it
+  void Freeze();  // it says nothing more, as one on a machine that has vanished; Kill ends that
   void Terminate();
   // Waits at most so long; what it exited with, or nothing.
   std::optional<int> Wait(Duration patience);
--- a/lab/truth/judge.cpp
+++ b/lab/truth/judge.cpp
@@ -152,17 +152,23 @@
     std::vector<PushMeter> meters(truth_.world.machines.size(),
                                   PushMeter(rules.fall_multiple, rules.fall, 4 * most));
     std::vector<bool> pushed(meters.size());
+    std::vector<Time> lives(meters.size());  // the start that each meter counts from
     for (const ClaimRecord& c : truth_.world.claims) {
       const auto n = static_cast<std::size_t>(c.machine);
       const MachineRecord& m = truth_.world.machines[n];
-      if (c.machine == kOrigin || pushed[n] || !m.capacity.Cold(c.whole)) continue;
-      const double full = meters[n].Add(c.whole, c.work_s, m.capacity.At(c.whole));
+      if (c.machine == kOrigin || pushed[n]) continue;
+      const Capacity then = m.CapacityAt(c.whole);
+      if (!then.Cold(c.whole)) continue;
+      if (then.started != lives[n]) {
+        meters[n] = PushMeter(rules.fall_multiple, rules.fall, 4 * most);
+        lives[n] = then.started;
+      }
+      const double full = meters[n].Add(c.whole, c.work_s, then.At(c.whole));
       if (full <= 1) continue;
       pushed[n] = true;
       Add(Rule::kColdPush, c.request, c.machine, c.whole,
-          Name(c.machine) + ", " + InMs(c.whole - m.capacity.started) +
-              " after its start, was sent more than " + std::to_string(rules.fall_multiple).substr(0, 4) +
-              " times what it can do");
+          Name(c.machine) + ", " + InMs(c.whole - then.started) + " after its start, was sent more than " +
+              std::to_string(rules.fall_multiple).substr(0, 4) + " times what it can do");
     }
     for (const Time fell : truth_.world.origin_fell) {
       double all = 0, cold = 0;
--- a/lab/truth/truth.h
+++ b/lab/truth/truth.h
@@ -47,8 +47,20 @@
   std::string uid, kind;
   int hall = 0;
   Capacity capacity;
-  Time gone{0};       // 0: still there at the end
-  bool fell = false;  // under a push, or, the origin, under load
+  std::vector<Time> starts;  // those of its restarts, in order; capacity.started is the latest
+  Time gone{0};              // 0: still there at the end
+  bool fell = false;         // under a push, or, the origin, under load
+  // As it stood at that moment. Guards against a later start being applied to work taken before it.
+  Capacity CapacityAt(Time at) const {
+    Capacity then = capacity;
+    if (starts.empty() || at >= capacity.started) return then;
+    then.started = first_started;
+    for (const Time start : starts) {
+      if (start <= at) then.started = start;
+    }
+    return then;
+  }
+  Time first_started{0};  // before any restart
 };
 
 // What became of a claim that reached a machine whole.
--- a/lab/world/discovery.cpp
+++ b/lab/world/discovery.cpp
@@ -11,36 +11,45 @@
 
 }  // namespace
 
-Discovery::Discovery(World& world, int number, int routers)
-    : Server(world.loop(), number, routers), world_(world) {}
+Discovery::Discovery(World& world, int routers)
+    : Server(world.loop(), routers, world.scenario().seed), world_(world) {}
 
-std::string Discovery::Text(int router, std::int64_t since, bool whole) const {
+std::string Discovery::Compose(const std::vector<Line>& lines, std::int64_t rev, std::int64_t since,
+                               bool whole, int router) {
   std::string out =
-      R"({"rev":)" + std::to_string(rev_) + R"(,"all":)" + (whole ? "true" : "false") + R"(,"targets":[)";
+      R"({"rev":)" + std::to_string(rev) + R"(,"all":)" + (whole ? "true" : "false") + R"(,"targets":[)";
   bool first = true;
-  for (const Entry& e : entries_) {
-    if (whole ? e.state == Listed::kTerminated : e.rev <= since) continue;
-    const MachineRecord& m = world_.truth().machines[static_cast<std::size_t>(e.machine)];
-    const auto boot = std::chrono::duration_cast<std::chrono::milliseconds>(m.capacity.started).count();
+  for (const Line& line : lines) {
+    if (whole ? line.terminated : line.rev <= since) continue;
     out += first ? "" : ",";
     first = false;
-    out += R"({"uid":")" + m.uid + R"(","endpoint":")" + world_.EndpointOf(e.machine, router) +
-           R"(","az":")" + world_.scenario().halls[static_cast<std::size_t>(m.hall)] + R"(","model":")" +
-           m.kind + R"(","pod_group":0,"state":")" +
-           std::string(kStates[static_cast<std::size_t>(e.state)]) + R"(","capacity_hint":)" +
-           std::to_string(m.capacity.full) + R"(,"boot_ms":)" + std::to_string(boot) + "}";
+    out += line.before;
+    out += EndpointOf(line.port, router);
+    out += line.after;
   }
   return out + "]}";
 }
 
-std::string Discovery::Whole(int router) const { return Text(router, 0, true); }
-
 void Discovery::List(int machine, Listed state) {
   ++rev_;
   const auto it =
       std::find_if(entries_.begin(), entries_.end(), [&](const Entry& e) { return e.machine == machine; });
-  Entry& entry = it == entries_.end() ? entries_.emplace_back() : *it;
-  entry = {machine, state, rev_};
+  const auto n = static_cast<std::size_t>(it - entries_.begin());
+  if (it == entries_.end()) {
+    entries_.emplace_back();
+    lines_.emplace_back();
+  }
+  entries_[n] = {machine, state, rev_};
+  const MachineRecord& m = world_.truth().machines[static_cast<std::size_t>(machine)];
+  const auto boot = std::chrono::duration_cast<std::chrono::milliseconds>(m.capacity.started).count();
+  lines_[n] = {rev_, state == Listed::kTerminated, world_.PortOf(machine),
+               R"({"uid":")" + m.uid + R"(","endpoint":")",
+               R"(","az":")" + world_.scenario().halls[static_cast<std::size_t>(m.hall)] +
+                   R"(","model":")" + m.kind + R"(","pod_group":0,"state":")" +
+                   std::string(kStates[static_cast<std::size_t>(state)]) + R"(","capacity_hint":)" +
+                   std::to_string(world_.scenario().discovery.states_size ? m.capacity.full : 1.0) +
+                   R"(,"boot_ms":)" + std::to_string(boot) + "}"};
+  // Those who wait hear of it in one go; the text of a change is the same for all but the endpoints.
   std::vector<Watch> watches;
   watches.swap(watches_);
   for (Watch& w : watches) {
--- a/lab/world/discovery.h
+++ b/lab/world/discovery.h
@@ -15,11 +15,21 @@
 
 class Discovery : public Server {
  public:
-  Discovery(World& world, int number, int routers);
+  Discovery(World& world, int routers);
   // Lists the machine so, from now on; the world sees to lateness.
   void List(int machine, Listed state);
-  // In discovery's form, as this router would be told it now.
-  std::string Whole(int router) const;
+  // The list in discovery's form takes a router's own endpoints between texts that are the same for all:
+  // made once a change, not once a router. Compose is free of the rest, and may run on any thread.
+  struct Line {
+    std::int64_t rev = 0;
+    bool terminated = false;
+    std::uint16_t port = 0;
+    std::string before, after;  // the endpoint
+  };
+  const std::vector<Line>& Lines() const { return lines_; }
+  std::int64_t rev() const { return rev_; }
+  static std::string Compose(const std::vector<Line>& lines, std::int64_t rev, std::int64_t since,
+                             bool whole, int router);
 
  private:
   struct Entry {
@@ -35,10 +45,13 @@
   void OnBytes(Peer& peer) override;
   void OnGone(Peer& peer, bool reset) override;
   void Tell(Peer& peer, std::int64_t since, bool whole);
-  std::string Text(int router, std::int64_t since, bool whole) const;
+  std::string Text(int router, std::int64_t since, bool whole) const {
+    return Compose(lines_, rev_, since, whole, router);
+  }
 
   World& world_;
   std::vector<Entry> entries_;
+  std::vector<Line> lines_;  // by entry
   std::vector<Watch> watches_;
   std::int64_t rev_ = 1;
 };
--- a/lab/world/execute_node.cpp
+++ b/lab/world/execute_node.cpp
@@ -20,7 +20,12 @@
 
 void ExecuteNode::Restart() {
   store_.Clear();
-  record().capacity.started = loop().Now();
+  MachineRecord& me = record();
+  if (me.starts.empty()) me.first_started = me.capacity.started;
+  me.capacity.started = loop().Now();
+  me.starts.push_back(me.capacity.started);
+  me.fell = false;
+  meter_ = PushMeter(world_.scenario().rules.fall_multiple, world_.scenario().rules.fall, 0.2);
   record().gone = Time(0);
   alive_ = true;
   SetLinks(Link::kUp);
--- a/lab/world/machine.cpp
+++ b/lab/world/machine.cpp
@@ -5,7 +5,8 @@
 namespace brasswood::lab {
 
 Machine::Machine(World& world, int number, int cores, double core_speed, int waiting)
-    : Server(world.loop(), number, world.routers()),
+    : Server(world.loop(), world.routers(),
+             Mix(world.scenario().seed * 8191 + static_cast<std::uint64_t>(number))),
       world_(world),
       rng_(
           MakeRng(Mix(world.scenario().seed * 4099 + static_cast<std::uint64_t>(number)), Stream::kFaults)),
@@ -13,6 +14,11 @@
       core_speed_(core_speed),
       station_(cores, waiting) {}
 
+void Machine::SetCores(int cores) {
+  station_.SetCores(std::max(1, cores));
+  while (const auto next = station_.Next()) Begin(*next);
+}
+
 MachineRecord& Machine::record() { return world_.truth().machines[static_cast<std::size_t>(number_)]; }
 
 std::size_t Machine::Enter(Peer& peer, RequestId id, double work_s, bool write) {
--- a/lab/world/machine.h
+++ b/lab/world/machine.h
@@ -29,6 +29,8 @@
 
   Ailment& ailment() { return ailment_; }
   int number() const { return number_; }
+  // So many of its cores are its own from now on; at least one.
+  void SetCores(int cores);
   // Looks whether the router has closed the connection of this claim, and books that as its end.
   void NoticeClose(std::uint64_t peer);
 
--- a/lab/world/server.cpp
+++ b/lab/world/server.cpp
@@ -7,6 +7,9 @@
 
 #include <cstring>
 #include <stdexcept>
+#include <utility>
+
+#include "protocol/address.h"
 
 namespace brasswood::lab {
 namespace {
@@ -20,130 +23,206 @@
   ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
 }
 
+constexpr int kRoutersPerNet = 250;  // of addresses 127.(20 + router / 250).1.(1 + router % 250)
+
+std::uint32_t AddressFor(int router) {
+  const auto r = static_cast<std::uint32_t>(router);
+  return 127u << 24 | (20 + r / kRoutersPerNet) << 16 | 1u << 8 | (1 + r % kRoutersPerNet);
+}
+int RouterAt(std::uint32_t address) {
+  return static_cast<int>(((address >> 16 & 255) - 20) * kRoutersPerNet + (address & 255) - 1);
+}
+
 }  // namespace
 
-Server::Server(Loop& loop, int number, int routers)
-    : loop_(loop), doors_(static_cast<std::size_t>(routers)) {
-  for (int r = 0; r < routers; ++r) {
-    Door& door = doors_[static_cast<std::size_t>(r)];
-    door.server = this;
-    door.router = r;
-    door.address.sin_family = AF_INET;
-    const std::uint32_t n = static_cast<std::uint32_t>(number);
-    door.address.sin_addr.s_addr =
-        htonl(127u << 24 | (20u + static_cast<std::uint32_t>(r)) << 16 | (n / 250) << 8 | (1 + n % 250));
-    Open(door);
-    char text[INET_ADDRSTRLEN];
-    ::inet_ntop(AF_INET, &door.address.sin_addr, text, sizeof text);
-    door.endpoint = std::string(text) + ":" + std::to_string(ntohs(door.address.sin_port));
-  }
+Server::Server(Loop& loop, int routers, std::uint64_t seed)
+    : loop_(loop), routers_(routers), rng_(MakeRng(seed, Stream::kFaults)) {
+  reserve_ = Bound(-1);
+  sockaddr_in at{};
+  socklen_t size = sizeof at;
+  ::getsockname(reserve_, reinterpret_cast<sockaddr*>(&at), &size);
+  port_ = ntohs(at.sin_port);
+  all_.server = this;
+  Open(all_);
 }
 
 Server::~Server() {
-  for (Door& door : doors_) Shut(door);
+  Shut(all_);
+  for (auto& [router, door] : doors_) {
+    if (door.listener) Shut(*door.listener);
+  }
+  ::close(reserve_);
+}
+
+std::string Server::EndpointOf(std::uint16_t port, int router) {
+  const std::uint32_t a = AddressFor(router);
+  return "127." + std::to_string(a >> 16 & 255) + ".1." + std::to_string(a & 255) + ":" +
+         std::to_string(port);
 }
 
-void Server::Open(Door& door) {
-  door.fd = Socket();
+int Server::Bound(int router) const {
+  const int fd = Socket();
   const int on = 1;
-  ::setsockopt(door.fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  socklen_t size = sizeof door.address;
-  if (door.fd < 0 || ::bind(door.fd, reinterpret_cast<sockaddr*>(&door.address), size) != 0 ||
-      ::listen(door.fd, kBacklog) != 0) {
+  ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  ::setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
+  constexpr char kDevice[] = "lo";
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_port = htons(port_);
+  at.sin_addr.s_addr = router < 0 ? htonl(INADDR_ANY) : htonl(AddressFor(router));
+  if (fd < 0 || ::setsockopt(fd, SOL_SOCKET, SO_BINDTODEVICE, kDevice, sizeof kDevice) != 0 ||
+      ::bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0) {
+    const std::string why = std::strerror(errno);
+    if (fd >= 0) ::close(fd);
+    throw std::runtime_error("the emulator cannot bind: " + why);
+  }
+  return fd;
+}
+
+void Server::Open(Listener& at) {
+  at.fd = Bound(at.router);
+  if (::listen(at.fd, kBacklog) != 0) {
     throw std::runtime_error(std::string("the emulator cannot listen: ") + std::strerror(errno));
   }
-  ::getsockname(door.fd, reinterpret_cast<sockaddr*>(&door.address), &size);
-  door.event.reset(event_new(
-      loop_.base(), door.fd, EV_READ | EV_PERSIST,
+  at.event.reset(event_new(
+      loop_.base(), at.fd, EV_READ | EV_PERSIST,
       [](evutil_socket_t, short, void* p) {
-        auto* at = static_cast<Door*>(p);
-        at->server->Accept(*at);
+        auto* l = static_cast<Listener*>(p);
+        l->server->Accept(*l);
       },
-      &door));
-  event_add(door.event.get(), nullptr);
+      &at));
+  event_add(at.event.get(), nullptr);
 }
 
-void Server::Shut(Door& door) {
-  door.event.reset();
-  for (const int fd : door.fillers) ::close(fd);
-  door.fillers.clear();
-  if (door.fd >= 0) ::close(door.fd);
-  door.fd = -1;
+void Server::Shut(Listener& at) {
+  at.event.reset();
+  for (const int fd : at.fillers) ::close(fd);
+  at.fillers.clear();
+  if (at.fd >= 0) ::close(at.fd);
+  at.fd = -1;
 }
 
 // Nothing on loopback loses packets, but a full queue of the kernel drops what asks to connect, which is
 // what a cut network looks like from outside: the queue is made as short as can be and filled.
-void Server::Silence(Door& door) {
-  event_del(door.event.get());
-  ::listen(door.fd, 0);
+void Server::Silence(Listener& at) {
+  Accept(at);  // those that came up before the cut did so
+  event_del(at.event.get());
+  ::listen(at.fd, 0);
+  const sockaddr_in to = *ParseAddress(endpoint(at.router < 0 ? 0 : at.router));
   for (int i = 0; i < 2; ++i) {
     const int fd = Socket();
-    (void)!::connect(fd, reinterpret_cast<const sockaddr*>(&door.address), sizeof door.address);
-    door.fillers.push_back(fd);
+    (void)!::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+    at.fillers.push_back(fd);
   }
 }
 
+Link Server::link(int router) const {
+  const auto it = doors_.find(router);
+  return it == doors_.end() ? all_link_ : it->second.link;
+}
+
+bool Server::Heard(const Peer& peer) const {
+  const Link now = link(peer.router);
+  return !peer.stalled && (now == Link::kUp || now == Link::kDeaf);
+}
+
+void Server::SetTrouble(int router, const LinkTrouble& trouble) { troubles_[router] = trouble; }
+
+// For all routers alike; what was different for one of them ends.
 void Server::SetLinks(Link link) {
-  for (std::size_t r = 0; r < doors_.size(); ++r) SetLink(static_cast<int>(r), link);
+  while (!doors_.empty()) SetLink(doors_.begin()->first, all_link_);
+  if (all_link_ == link) return;
+  const Link before = std::exchange(all_link_, link);
+  Set(all_, before, link);
+  SetPeers(-1, before, link);
 }
 
 void Server::SetLink(int router, Link link) {
-  Door& door = doors_[static_cast<std::size_t>(router)];
-  if (door.link == link) return;
-  const Link before = std::exchange(door.link, link);
+  const Link before = this->link(router);
+  if (before == link) return;
+  const auto it = doors_.find(router);
+  if (link == all_link_ && it != doors_.end()) {
+    if (it->second.listener) Shut(*it->second.listener);
+    doors_.erase(it);
+  } else {
+    Door& door = doors_[router];
+    door.link = link;
+    if (!door.listener) {
+      door.listener = std::make_unique<Listener>();
+      door.listener->server = this;
+      door.listener->router = router;
+      if (link != Link::kRefused) Open(*door.listener);
+      // A silent or deaf link brings no new connection up.
+      if (link == Link::kSilent || link == Link::kDeaf) Silence(*door.listener);
+    } else {
+      Set(*door.listener, before, link);
+    }
+  }
+  SetPeers(router, before, link);
+}
+
+// A cut link brings no connection up, one way or both.
+void Server::Set(Listener& at, Link before, Link link) {
+  const bool open = link == Link::kUp;
+  const bool was_cut = before == Link::kSilent || before == Link::kDeaf;
+  if (link == Link::kRefused) return Shut(at);
+  if (before == Link::kRefused) Open(at);
+  if (open && was_cut) {
+    for (const int fd : at.fillers) ::close(fd);
+    at.fillers.clear();
+    ::listen(at.fd, kBacklog);
+    event_add(at.event.get(), nullptr);
+  }
+  if (!open && !was_cut) Silence(at);
+}
+
+// The connections of that router, or of all where it is below 0.
+void Server::SetPeers(int router, Link before, Link link) {
   std::vector<std::uint64_t> here;
   peers_.Each([&](std::uint64_t id, auto& p) {
-    if (p->router == router) here.push_back(id);
+    if (router < 0 || p->router == router) here.push_back(id);
   });
-  if (before == Link::kSilent) {
-    for (const int fd : door.fillers) ::close(fd);
-    door.fillers.clear();
-    for (const std::uint64_t id : here) {
-      Peer& peer = **peers_.Find(id);
+  for (const std::uint64_t id : here) {
+    auto* held = peers_.Find(id);
+    if (held == nullptr) continue;
+    Peer& peer = **held;
+    if (link == Link::kRefused) {
+      Break(peer, true);
+      continue;
+    }
+    if (before == Link::kSilent && ClosedByRouter(peer)) {
       // What came while the network was cut and was then given up never arrived.
-      if (link == Link::kUp && ClosedByRouter(peer)) {
-        Break(peer, false);
-      } else if (link == Link::kUp) {
-        bufferevent_enable(peer.buffer.get(), EV_READ);
-        Write(peer, std::exchange(peer.held, {}));
-      }
+      Break(peer, false);
+      continue;
     }
-  }
-  switch (link) {
-    case Link::kUp:
-      if (before == Link::kRefused) {
-        Open(door);
-      } else {
-        ::listen(door.fd, kBacklog);
-        event_add(door.event.get(), nullptr);
-      }
-      break;
-    case Link::kRefused:
-      Shut(door);
-      for (const std::uint64_t id : here) {
-        if (auto* peer = peers_.Find(id)) Break(**peer, true);
-      }
-      break;
-    case Link::kSilent:
-      if (before == Link::kRefused) Open(door);
-      Silence(door);
-      for (const std::uint64_t id : here) {
-        if (auto* peer = peers_.Find(id)) bufferevent_disable((*peer)->buffer.get(), EV_READ);
-      }
-      break;
+    if (Heard(peer)) {
+      bufferevent_enable(peer.buffer.get(), EV_READ);
+    } else {
+      bufferevent_disable(peer.buffer.get(), EV_READ);
+    }
+    if (link == Link::kUp) Write(peer, std::exchange(peer.held, {}));
   }
 }
 
-void Server::Accept(Door& door) {
-  for (int i = 0; i < 64; ++i) {
-    const int fd = ::accept4(door.fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+void Server::Accept(Listener& at) {
+  for (int i = 0; i < 256; ++i) {
+    sockaddr_in to{};
+    socklen_t size = sizeof to;
+    const int fd = ::accept4(at.fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) return;
+    ::getsockname(fd, reinterpret_cast<sockaddr*>(&to), &size);
+    const int router = RouterAt(ntohl(to.sin_addr.s_addr));
+    if (router < 0 || router >= routers_ || link(router) == Link::kRefused) {
+      ResetOnClose(fd);
+      ::close(fd);
+      continue;
+    }
     const int on = 1;
     ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     auto owned = std::make_unique<Peer>();
     Peer& peer = *owned;
     peer.server = this;
-    peer.router = door.router;
+    peer.router = router;
     peer.buffer.reset(bufferevent_socket_new(loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE));
     peer.id = peers_.Add(std::move(owned));
     bufferevent_setcb(
@@ -154,12 +233,15 @@
           static_cast<Peer*>(p)->server->Break(*static_cast<Peer*>(p), false);
         },
         &peer);
-    bufferevent_enable(peer.buffer.get(), EV_READ | EV_WRITE);
+    bufferevent_enable(peer.buffer.get(), Heard(peer) ? EV_READ | EV_WRITE : EV_WRITE);
     OnPeer(peer);
   }
 }
 
 void Server::ReadFrom(Peer& peer) {
+  // Guards against work begun for a command that its router has given up: a connection that waited in the
+  // queue, or behind a cut, may hold both the command and its end.
+  if (ClosedByRouter(peer)) return Break(peer, false);
   if (peer.first == Time(0)) peer.first = loop_.Now();
   const std::uint64_t id = peer.id;
   OnBytes(peer);
@@ -187,11 +269,43 @@
 }
 
 void Server::Write(Peer& peer, std::string_view text) {
-  if (doors_[static_cast<std::size_t>(peer.router)].link == Link::kSilent) {
+  if (text.empty()) return;
+  if (link(peer.router) != Link::kUp || peer.stalled) {
     peer.held += text;
-  } else if (!text.empty()) {
+    return;
+  }
+  const auto it = troubles_.find(peer.router);
+  if (it == troubles_.end()) {
     bufferevent_write(peer.buffer.get(), text.data(), text.size());
+    return;
   }
+  const LinkTrouble& trouble = it->second;
+  if (Chance(rng_, trouble.lossy)) {
+    peer.held += text;
+    return Lose(peer);
+  }
+  const Duration more(static_cast<std::int64_t>(static_cast<double>(trouble.jitter.count()) * Unit(rng_)));
+  // In order: what is written later arrives no sooner.
+  peer.free = std::max(peer.free, loop_.Now() + trouble.delay + more);
+  loop_.deadlines().Set(peer.free, [this, id = peer.id, late = std::string(text)] {
+    Peer* at = FindPeer(id);
+    if (at == nullptr) return;
+    if (link(at->router) != Link::kUp || at->stalled) {
+      at->held += late;
+    } else {
+      bufferevent_write(at->buffer.get(), late.data(), late.size());
+    }
+  });
+}
+
+// A lossy link takes one connection: half of them are reset, the others say nothing more.
+void Server::Lose(Peer& peer) {
+  peer.stalled = true;
+  bufferevent_disable(peer.buffer.get(), EV_READ);
+  if (!Chance(rng_, 0.5)) return;
+  loop_.deadlines().Set(Time(0), [this, id = peer.id] {
+    if (Peer* at = FindPeer(id)) Break(*at, true);
+  });
 }
 
 void Server::Answer(Peer& peer, std::size_t claim, std::string text) {
--- a/lab/world/station.h
+++ b/lab/world/station.h
@@ -35,7 +35,14 @@
       if (it != waiting_.end()) waiting_.erase(it);
       return std::nullopt;
     }
-    if (waiting_.empty()) return std::nullopt;
+    return Next();
+  }
+  // A neighbour takes cores, or gives them back: what runs goes on, and what waits begins as cores come
+  // free.
+  void SetCores(int cores) { cores_ = static_cast<std::size_t>(cores); }
+  // A job that may begin now, if one waits and there is a core for it.
+  std::optional<Token> Next() {
+    if (waiting_.empty() || running_.size() >= cores_) return std::nullopt;
     const Token next = waiting_.front();
     waiting_.pop_front();
     running_.insert(next);
--- a/lab/world/world.cpp
+++ b/lab/world/world.cpp
@@ -1,6 +1,7 @@
 #include "lab/world/world.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "protocol/labels.h"
 
@@ -17,8 +18,7 @@
   truth_.machines.push_back(origin);
   origin_ = std::make_unique<Origin>(*this, scenario.origin);
   // Far behind the nodes' numbers: replacements are added while the run goes on.
-  discovery_ = std::make_unique<Discovery>(*this, 9000, routers_);
-  known_.resize(static_cast<std::size_t>(routers_));
+  discovery_ = std::make_unique<Discovery>(*this, routers_);
   discovery_->List(kOrigin, Listed::kInService);
   for (const NodePlan& plan : scenario.nodes) {
     for (int i = 0; i < plan.count; ++i) discovery_->List(Add(plan, Time(0)), Listed::kInService);
@@ -67,11 +67,15 @@
   return all;
 }
 
-const std::string& World::EndpointOf(int machine, int router) const {
+std::string World::EndpointOf(int machine, int router) const {
   if (machine == kOrigin) return origin_->endpoint(router);
   return nodes_[static_cast<std::size_t>(machine) - 1]->endpoint(router);
 }
 
+std::uint16_t World::PortOf(int machine) const {
+  return machine == kOrigin ? origin_->port() : nodes_[static_cast<std::size_t>(machine) - 1]->port();
+}
+
 std::size_t World::ClassOf(std::string_view labels) const {
   std::size_t found = 0;
   EachLabel(labels, [&](std::string_view name, std::string_view value) {
@@ -215,6 +219,37 @@
         }
       });
     }
+    case FaultKind::kLinkCut:
+    case FaultKind::kLinkSlow:
+    case FaultKind::kLinkLossy:
+    case FaultKind::kPartition:
+      return ApplyToLinks(fault, number);
+    case FaultKind::kMachineDrop: {
+      std::vector<ExecuteNode*> hit;
+      for (const auto& [machine, router] : Dropped(scenario_, number)) {
+        ExecuteNode& node = *nodes_[static_cast<std::size_t>(machine) - 1];
+        if (node.alive()) hit.push_back(&node);
+      }
+      for (ExecuteNode* node : hit) node->SetLinks(Link::kSilent);
+      return later([this, hit] {
+        for (ExecuteNode* node : hit) {
+          if (!node->alive()) continue;
+          node->Die();
+          node->Restart();
+          ListLater(node->number(), Listed::kInService);
+        }
+      });
+    }
+    case FaultKind::kCapacityDrop: {
+      const std::vector<ExecuteNode*> hit = Pick(fault, number);
+      const auto keep = [&fault](const ExecuteNode& n) {
+        return static_cast<int>(std::lround(n.plan().cores * (1 - fault.share)));
+      };
+      for (ExecuteNode* node : hit) node->SetCores(keep(*node));
+      return later([hit] {
+        for (ExecuteNode* node : hit) node->SetCores(node->plan().cores);
+      });
+    }
     case FaultKind::kDrain:
       for (ExecuteNode* node : Pick(fault, number)) Leave(*node, fault.length);
       return;
@@ -228,14 +263,49 @@
   }
 }
 
+// Between chosen routers and chosen nodes; the origin and discovery are reached as before.
+void World::ApplyToLinks(const FaultPlan& fault, std::size_t number) {
+  std::vector<std::pair<ExecuteNode*, int>> pairs;
+  if (fault.kind == FaultKind::kPartition) {
+    const std::vector<int> of_router = Groups(scenario_, number, static_cast<std::size_t>(routers_), 1);
+    const std::vector<int> of_node = Groups(scenario_, number, nodes_.size(), 2);
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+      for (int r = 0; r < routers_; ++r) {
+        if (of_node[n] != of_router[static_cast<std::size_t>(r)]) pairs.emplace_back(nodes_[n].get(), r);
+      }
+    }
+  } else {
+    for (ExecuteNode* node : Pick(fault, number)) {
+      for (const int r : VictimRouters(scenario_, number)) pairs.emplace_back(node, r);
+    }
+  }
+  std::erase_if(pairs, [](const auto& p) { return !p.first->alive(); });
+  const bool cut = fault.kind == FaultKind::kLinkCut || fault.kind == FaultKind::kPartition;
+  for (const auto& [node, router] : pairs) {
+    if (cut) {
+      node->SetLink(router, fault.back_only ? Link::kDeaf : Link::kSilent);
+    } else {
+      const bool lossy = fault.kind == FaultKind::kLinkLossy;
+      node->SetTrouble(router, {fault.delay, fault.jitter, lossy ? fault.share : 0});
+    }
+  }
+  At(fault.at + fault.length, [pairs, cut] {
+    for (const auto& [node, router] : pairs) {
+      if (!cut) node->SetTrouble(router, {});
+      if (cut && node->alive()) node->SetLink(router, Link::kUp);
+    }
+  });
+}
+
 void World::Publish() {
   const std::lock_guard lock(known_lock_);
-  for (int r = 0; r < routers_; ++r) known_[static_cast<std::size_t>(r)] = discovery_->Whole(r);
+  known_ = discovery_->Lines();
+  known_rev_ = discovery_->rev();
 }
 
 std::string World::Known(int router) {
   const std::lock_guard lock(known_lock_);
-  return known_[static_cast<std::size_t>(router)];
+  return Discovery::Compose(known_, known_rev_, 0, true, router);
 }
 
 void World::Tick() {
--- a/lab/world/world.h
+++ b/lab/world/world.h
@@ -26,7 +26,7 @@
 
   // Before Run: what a router is told at its start.
   int routers() const { return routers_; }
-  const std::string& DiscoveryEndpoint(int router) const { return discovery_->endpoint(router); }
+  std::string DiscoveryEndpoint(int router) const { return discovery_->endpoint(router); }
   // From any thread, also while Run is on: the list as this router would be told it.
   std::string Known(int router);
   std::vector<std::string> NodeEndpoints(int router) const;
@@ -56,7 +56,8 @@
   // The origin has served a fetch: the nodes that missed keep the value.
   void Stored(RequestId id, const std::string& key);
   void DropCopies(const std::string& key);
-  const std::string& EndpointOf(int machine, int router) const;
+  std::string EndpointOf(int machine, int router) const;
+  std::uint16_t PortOf(int machine) const;
 
  private:
   void Schedule(const FaultPlan& fault, std::size_t number);
@@ -64,6 +65,7 @@
   void At(Duration from_start, std::function<void()> run);
   // The nodes that a fault is to hit, drawn from those in service.
   std::vector<ExecuteNode*> Pick(const FaultPlan& fault, std::size_t number);
+  void ApplyToLinks(const FaultPlan& fault, std::size_t number);
   void ListLater(int machine, Listed state);
   void Leave(ExecuteNode& node, Duration drain);
   int Add(const NodePlan& plan, Time started);
@@ -90,7 +92,8 @@
   std::unordered_map<RequestId, Out> last_claim_;
   std::unordered_map<RequestId, std::vector<int>> missed_;
   std::mutex known_lock_;
-  std::vector<std::string> known_;  // by router
+  std::vector<Discovery::Line> known_;  // the list, but for what each router is told of its own
+  std::int64_t known_rev_ = 0;
   LagMeter lag_;
   std::atomic<bool> stop_{false};
   std::atomic<std::int64_t> asked_start_{0};
--- a/src/sight/paces.cpp
+++ b/src/sight/paces.cpp
@@ -12,8 +12,8 @@
 
 constexpr Duration kTau = seconds(15);  // answers fade: longer than a spell of queueing, shorter than a
                                         // day's shift of the traffic
-constexpr double kLean = 6;        // looks that the group's pace counts for beside a server's own
-constexpr double kLeanFleet = 12;  // and the fleet's beside a group's
+constexpr double kLean = 6;             // looks that the group's pace counts for beside a server's own
+constexpr double kLeanFleet = 12;       // and the fleet's beside a group's
 constexpr Duration kStep = milliseconds(500);
 constexpr double kMove = 0.06;    // of the logarithm of a weight, at one step: that share of its keys moves
 constexpr double kWorth = 0.18;   // a difference less than this is left: chance, and keys moved for nothing
--- /dev/null
+++ b/tests/lab/fleet_test.cpp
@@ -0,0 +1,191 @@
+// 24 processes of the router with faults put between them and their machines: judged by what the emulator
+// saw, never by the routers' word. Each row also shows that its fault was really there.
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "lab/base/plan.h"
+#include "site.h"
+
+using namespace brasswood;
+using namespace brasswood::lab;
+
+namespace {
+
+constexpr int kRouters = 24;
+
+std::string FleetSite(const std::string& fault) {
+  std::string site = Site(fault + R"(
+[[nodes]]
+count = 4
+kind = "other"
+cores = 2
+ramp_ms = 8000
+[routers]
+per_hall = 24
+)");
+  site.replace(site.find("rate = 60"), 9, "rate = 90");
+  site.replace(site.find("clients = 6"), 11, "clients = 48");
+  return site;
+}
+
+// From each fault's start to its end, with a tenth of a second for what was on its way.
+bool During(const Truth& t, Time at) {
+  const FaultPlan& f = t.scenario.faults[0];
+  const Time from = t.start + f.at + std::chrono::milliseconds(100) + t.world.lag;
+  return at >= from && at < t.start + f.at + f.length - std::chrono::milliseconds(100);
+}
+
+struct Seen {  // of the claims at nodes while the fault lasted
+  int all = 0, answered = 0, reset = 0;
+  std::set<std::pair<int, int>> pairs, answered_pairs;  // router and machine
+};
+Seen Look(const Truth& t) {
+  Seen seen;
+  for (const ClaimRecord& c : t.world.claims) {
+    if (c.machine == kOrigin || !During(t, c.whole)) continue;
+    ++seen.all;
+    seen.pairs.emplace(c.router, c.machine);
+    if (c.fate == Fate::kReset) ++seen.reset;
+  }
+  return seen;
+}
+
+double Served(const Truth& t) {
+  double served = 0;
+  for (const Intent& i : t.load.intents) served += i.served;
+  return served / static_cast<double>(t.load.intents.size());
+}
+
+}  // namespace
+
+TEST_CASE("two dozen routers keep the rules whatever breaks between them and their machines") {
+  struct Row {
+    const char* name;
+    const char* fault;
+    double served;  // at least, of all that was asked for: the fault takes some of it away by itself
+    void (*bites)(const Truth&, const Seen&);
+  };
+  const auto none_crosses = [](const Truth& t, const Seen& seen) {
+    // Of the pairs that the fault parts, none exchanged a claim while it lasted.
+    const FaultPlan& f = t.scenario.faults[0];
+    CHECK(seen.all > 0);
+    if (f.kind == FaultKind::kPartition) {
+      const auto routers = Groups(t.scenario, 0, kRouters, 1);
+      const auto nodes = Groups(t.scenario, 0, t.world.machines.size() - 1, 2);
+      for (const auto& [r, m] : seen.pairs) {
+        CHECK(routers[static_cast<std::size_t>(r)] == nodes[static_cast<std::size_t>(m) - 1]);
+      }
+      return;
+    }
+    std::set<int> cut_machines;
+    const std::vector<int> cut = VictimRouters(t.scenario, 0);
+    for (std::size_t m = 1; m < t.world.machines.size(); ++m) cut_machines.insert(static_cast<int>(m));
+    for (const int r : cut) {
+      for (const auto& [router, m] : seen.pairs) {
+        if (router == r) cut_machines.erase(m);
+      }
+    }
+    CHECK(static_cast<int>(cut_machines.size()) >= f.count);
+  };
+  const Row rows[] = {
+      {"a link cut",
+       "[[fault]]\nkind = 'link_cut'\ncount = 3\nrouter_part = 0.5\nat_s = 0.8\nfor_s = 1.5\n", 0.95,
+       none_crosses},
+      {"a link cut one way",
+       "[[fault]]\nkind = 'link_cut'\nway = 'back'\ncount = 3\nrouter_part = 0.5\nat_s = 0.8\nfor_s = "
+       "1.5\n",
+       0.9, [](const Truth&, const Seen& seen) { CHECK(seen.all > 0); }},
+      {"a slow link",
+       "[[fault]]\nkind = 'link_slow'\ncount = 7\ndelay_ms = 120\njitter_ms = 60\nat_s = 0.8\nfor_s = "
+       "1.5\n",
+       0.97,
+       [](const Truth& t, const Seen&) {
+         // Nothing that a node served while it lasted reached its client sooner than the delay.
+         for (const TryRecord& r : t.load.tries) {
+           if (r.end != TryEnd::kValue || !During(t, r.sent) || !During(t, r.ended)) continue;
+           CHECK(r.ended - r.sent >= std::chrono::milliseconds(120));
+         }
+       }},
+      {"a lossy link", "[[fault]]\nkind = 'link_lossy'\ncount = 7\nshare = 0.15\nat_s = 0.8\nfor_s = 1.5\n",
+       0.85, [](const Truth&, const Seen& seen) { CHECK(seen.all > 0); }},
+      {"a partition", "[[fault]]\nkind = 'partition'\nsize = 2\nat_s = 0.8\nfor_s = 1.5\n", 0.9,
+       none_crosses},
+      {"a machine with its router", "[[fault]]\nkind = 'machine_drop'\ncount = 2\nat_s = 0.8\nfor_s = 1\n",
+       0.85,
+       [](const Truth& t, const Seen& seen) {
+         CHECK(t.absences.size() == 2);
+         for (const auto& [machine, router] : Dropped(t.scenario, 0)) {
+           CHECK(t.world.machines[static_cast<std::size_t>(machine)].starts.size() == 1);
+           for (const auto& [r, m] : seen.pairs) {
+             CHECK(m != machine);
+             CHECK(r != router);
+           }
+         }
+       }},
+      {"neighbours", "[[fault]]\nkind = 'capacity_drop'\npart = 1\nshare = 0.5\nat_s = 0.8\nfor_s = 1.5\n",
+       0.97, [](const Truth&, const Seen& seen) { CHECK(seen.all > 0); }},
+  };
+  for (const Row& row : rows) {
+    DYNAMIC_SECTION(row.name) {
+      Folder folder;
+      const Outcome outcome = Play(FleetSite(row.fault), {BRASSWOOD_PROGRAM}, folder.path);
+      for (const std::string& trouble : outcome.troubles) FAIL_CHECK(trouble);
+      for (const Breach& b : outcome.breaches) FAIL_CHECK(Story(outcome.truth, b));
+      CHECK(Served(outcome.truth) >= row.served);
+      row.bites(outcome.truth, Look(outcome.truth));
+    }
+  }
+}
+
+TEST_CASE("an emulator that uses up its core voids the run") {
+  Folder folder;
+  // 90 requests a second is nothing: what it costs is planted.
+  const Outcome outcome = Play(FleetSite(""), {BRASSWOOD_FAULTY, "honest"}, folder.path);
+  Outcome planted = outcome;
+  planted.void_because.clear();
+  planted.truth.world.cpu = std::chrono::seconds(10);
+  Weigh(planted, {1.0, 3.0});
+  REQUIRE_FALSE(planted.void_because.empty());
+  CHECK_THAT(planted.void_because[0], Catch::Contains("the emulator used"));
+  planted = outcome;
+  planted.void_because.clear();
+  Weigh(planted, {0.001, 3.0});
+  CHECK_THAT(planted.void_because.back(), Catch::Contains("stood idle"));
+}
+
+TEST_CASE("how evenly nodes are used is told from the truth") {
+  Truth t;
+  t.start = Time(std::chrono::seconds(1000));
+  t.scenario.length = std::chrono::seconds(10);
+  t.world.machines.resize(3);
+  t.world.machines[1].capacity.full = 1;
+  t.world.machines[2].capacity.full = 3;
+  const auto claim = [&](int machine, int at_ms) {
+    ClaimRecord c;
+    c.machine = machine;
+    c.whole = t.start + std::chrono::milliseconds(at_ms);
+    c.work_s = 0.1f;
+    t.world.claims.push_back(c);
+  };
+  for (int at = 0; at < 10000; at += 100) {
+    Intent i;
+    i.at = t.start + std::chrono::milliseconds(at);
+    t.load.intents.push_back(i);
+  }
+  // In proportion to what each can do: even, though one gets three times what the other does.
+  for (int at = 0; at < 10000; at += 400) {
+    claim(1, at);
+    for (const int more : {0, 130, 260}) claim(2, at + more);
+  }
+  SpreadFigures f = MeasureSpread(t);
+  CHECK(f.busiest == Approx(1).margin(0.01));
+  CHECK(f.jain == Approx(1).margin(0.001));
+  CHECK(f.idle_s == 0);
+  CHECK(f.herd < 4);
+  // All of five seconds' claims at once is a herd, and so much of the small node that the other is idle.
+  for (int i = 0; i < 60; ++i) claim(1, 5050);
+  f = MeasureSpread(t);
+  CHECK(f.busiest > 1.5);
+  CHECK(f.jain < 0.8);
+  CHECK(f.herd > 6);
+}
--- a/tests/lab/judge_test.cpp
+++ b/tests/lab/judge_test.cpp
@@ -266,6 +266,27 @@
   }
 }
 
+TEST_CASE("a later start says nothing of the work that a machine took before it") {
+  // Pushed far beyond what a cold machine bears, while it was warm; then it dies and starts again.
+  for (const bool again : {false, true}) {
+    Case c;
+    c.truth.scenario.rules.fall_multiple = 4;
+    MachineRecord& m = c.truth.world.machines[1];
+    m.capacity = {1, 0.1, At(20000), milliseconds(8000)};
+    m.starts = {At(20000)};
+    for (int i = 0; i < 200; ++i) {
+      const RequestId id = static_cast<RequestId>(100 + i);
+      const int at = (again ? 20000 : 10000) + i * 5;
+      c.Try(id, 0, at, at + 3, TryEnd::kValue);
+      c.Claim(id, 1, at, at + 2, Fate::kHit).work_s = 0.1f;
+    }
+    const auto breaches = Judge(c.truth);
+    const auto pushed = std::count_if(breaches.begin(), breaches.end(),
+                                      [](const Breach& b) { return b.rule == Rule::kColdPush; });
+    CHECK(pushed == (again ? 1 : 0));
+  }
+}
+
 TEST_CASE("a cold machine's budget is a sum over any window, a warm one's is not counted") {
   for (const bool cold : {true, false}) {
     Case c;
--- a/tests/lab/run_test.cpp
+++ b/tests/lab/run_test.cpp
@@ -1,77 +1,14 @@
 // Whole runs of a few seconds: routers that break each rule are caught, the real one is not, and a run that
 // the laboratory cannot keep up with is void. Deadlines are long and limits on time grow with the
 // laboratory's own lag, so that no verdict hangs on the speed of the machine.
-#include <stdlib.h>
-
 #include <catch2/catch.hpp>
 #include <filesystem>
 
-#include "lab/report/write.h"
+#include "site.h"
 
 using namespace brasswood;
 using namespace brasswood::lab;
 
-namespace {
-
-struct Folder {
-  std::string path;
-  Folder() {
-    char name[] = "/tmp/brasswood-lab-test-XXXXXX";
-    path = ::mkdtemp(name);
-  }
-  ~Folder() { std::filesystem::remove_all(path); }
-};
-
-std::string Site(const std::string& more) {
-  return R"(
-length_s = 3
-warm_up_s = 0.5
-[[class]]
-name = "read"
-share = 0.8
-work_ms = 4
-work_cv = 0
-aim_ms = 2000
-give_up_ms = 3000
-[[class]]
-name = "publish"
-share = 0.2
-work_ms = 4
-aim_ms = 2000
-give_up_ms = 3000
-write = true
-repeats = "never"
-[[nodes]]
-count = 3
-cores = 2
-ramp_ms = 8000
-[origin]
-cores = 8
-work_ms = 10
-fall_multiple = 0
-[discovery]
-late_ms = 50
-[load]
-rate = 60
-keys = 30
-clients = 6
-retries = 0
-late_limit_ms = 60000
-[rules]
-ramp_ms = 8000
-)" + more;
-}
-
-Outcome Play(const std::string& scenario, std::vector<std::string> router, const std::string& folder,
-             const Overrides& overrides = {}) {
-  RunOptions options;
-  options.router = std::move(router);
-  options.folder = folder;
-  return RunOnce(ReadScenario(scenario, "test", overrides), options);
-}
-
-}  // namespace
-
 TEST_CASE("routers that break a rule are caught, by that rule") {
   struct Row {
     const char* fault;
--- /dev/null
+++ b/tests/lab/site.h
@@ -0,0 +1,74 @@
+// A small site for whole runs of a few seconds. Deadlines are long and limits on time grow with the
+// laboratory's own lag, so that no verdict hangs on the speed of the machine.
+#ifndef BRASSWOOD_TESTS_LAB_SITE_H_
+#define BRASSWOOD_TESTS_LAB_SITE_H_
+
+#include <stdlib.h>
+
+#include <filesystem>
+#include <string>
+
+#include "lab/report/write.h"
+
+namespace brasswood::lab {
+
+struct Folder {
+  std::string path;
+  Folder() {
+    char name[] = "/tmp/brasswood-lab-test-XXXXXX";
+    path = ::mkdtemp(name);
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+};
+
+inline std::string Site(const std::string& more) {
+  return R"(
+length_s = 3
+warm_up_s = 0.5
+[[class]]
+name = "read"
+share = 0.8
+work_ms = 4
+work_cv = 0
+aim_ms = 2000
+give_up_ms = 3000
+[[class]]
+name = "publish"
+share = 0.2
+work_ms = 4
+aim_ms = 2000
+give_up_ms = 3000
+write = true
+repeats = "never"
+[[nodes]]
+count = 3
+cores = 2
+ramp_ms = 8000
+[origin]
+cores = 8
+work_ms = 10
+fall_multiple = 0
+[discovery]
+late_ms = 50
+[load]
+rate = 60
+keys = 30
+clients = 6
+retries = 0
+late_limit_ms = 60000
+[rules]
+ramp_ms = 8000
+)" + more;
+}
+
+inline Outcome Play(const std::string& scenario, std::vector<std::string> router, const std::string& folder,
+                    const Overrides& overrides = {}) {
+  RunOptions options;
+  options.router = std::move(router);
+  options.folder = folder;
+  return RunOnce(ReadScenario(scenario, "test", overrides), options);
+}
+
+}  // namespace brasswood::lab
+
+#endif  // BRASSWOOD_TESTS_LAB_SITE_H_
