Weigh servers by the pace of their answers, and move keys off slow holders

Cause: Choose and the hash order treat all servers alike, and the list's capacity_hint is dropped (src/choice.cpp, Take).

Change: weights learnt from times to an answer (src/sight/paces), weighted rendezvous order, keys leave slow holders, loads count by their evidence; refused list calls spread as first calls do (16 calls in 100 ms where 15 are the test's bound, 90 routers starting anew).

The bound on list calls stays.

--- a/lab/run/router_process.cpp
+++ b/lab/run/router_process.cpp
@@ -30,10 +30,15 @@
 
 constexpr std::string_view kEffects[] = {"free", "guarded", "single_shot"};
 
-int Listening(const std::string& host, std::string& address) {
+// Bound, never listening, and kept: the port stays this router's for as long as the laboratory runs. Guards
+// against two laboratories side by side whose routers share a port, each taking the other's clients.
+int Reserve(const std::string& host, std::string& address) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in at = *ParseAddress(host + ":0");
   socklen_t size = sizeof at;
+  const int on = 1;
+  ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  ::setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
   if (fd < 0 || ::bind(fd, reinterpret_cast<const sockaddr*>(&at), size) != 0) {
     throw std::runtime_error("no port for a router: " + std::string(std::strerror(errno)));
   }
@@ -53,13 +58,15 @@
 RouterProcess::RouterProcess(const Scenario& scenario, int number, std::vector<std::string> command,
                              std::string folder)
     : scenario_(scenario), number_(number), command_(std::move(command)), folder_(std::move(folder)) {
-  // The address is one that nothing else uses, so the port found free stays free for the router.
-  ::close(Listening("127.0." + std::to_string(3 + number / 250) + "." + std::to_string(1 + number % 250),
-                    listen_));
+  reserved_ = Reserve("127.0." + std::to_string(3 + number / 250) + "." + std::to_string(1 + number % 250),
+                      listen_);
   ::unlink(log().c_str());
 }
 
-RouterProcess::~RouterProcess() { Kill(); }
+RouterProcess::~RouterProcess() {
+  Kill();
+  ::close(reserved_);
+}
 
 std::string RouterProcess::Configuration(const std::string& discovery, const std::string& known) const {
   const Scenario& s = scenario_;
--- a/lab/run/router_process.h
+++ b/lab/run/router_process.h
@@ -54,6 +54,7 @@
   int number_;
   std::vector<std::string> command_;
   std::string folder_, listen_;
+  int reserved_ = -1;  // holds the port
   pid_t pid_ = -1;
   int starts_ = 0;
   double cpu_s_ = 0;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -42,6 +42,11 @@
 constexpr double kEjectCap = 0.4;             // at most this share of the listed servers is ejected
 constexpr Duration kEjectFirst = seconds(1);  // first ejection; doubles up to kEjectMost
 constexpr Duration kEjectMost = seconds(8);
+// A load above the mean counts as far as so many sends of the last seconds can tell it from chance.
+constexpr double kLoadEvidence = 8;
+// A key moves to a server that stands so much before its holders in its order, if they are slower by so
+// much (of the logarithm of the times).
+constexpr double kMoveGain = 0.15, kMoveSlower = 0.1;
 constexpr double kLooks = 1;  // an ejection outlasts so many looks at the server, four times that at most
 constexpr double kPaceStep = 0.04;                  // weight of one answer in its hall's pace
 constexpr double kHomeSlow = 1.5, kHomeEven = 1.2;  // times the other hall's pace: keys cross, or come home
@@ -171,6 +176,7 @@
   LoadReport report;
   Time report_at{-1};
 
+  Smoothed sends;  // decaying over kRateTau: how much evidence its load is
   double failure_share = 0;
   int failure_streak = 0;
   int ejections = 0;
@@ -180,6 +186,7 @@
 
   double cold_tokens = 0;
   Time cold_at{0};
+  double part = 1;  // scratch of Choose: what it is to carry, 1 for a warm server of mean capacity
   std::uint32_t silent_in = 0;  // the spell of its hall's silence that it has been counted in
   Time crowded_until{0};        // it refused a connection: idle ones are given back
 };
@@ -285,6 +292,9 @@
     set_.allowed.max_attempts = std::max(1, set_.allowed.max_attempts);
     set_.rules.cold_from = std::clamp(set_.rules.cold_from, 0.0, 1.0);
     set_.rules.ramp = std::max(set_.rules.ramp, Duration(1));
+    // Guards against a fleet that started together and asks again together: refusals spread as first calls
+    // do.
+    backoff_ = std::max<Duration>(seconds(1), Spread());
     for (const RequestClass& c : set_.classes) longest_aim_ = std::max(longest_aim_, c.aim);
   }
 
@@ -340,9 +350,14 @@
 
   // This instance's share of what a cold server bears is in proportion to what it sends a warm one: summed
   // over all instances that is the load that warm servers are seen to bear, and less than their capacity.
-  void FillCold(Server& s) const {
+  double ColdShare(const Server& s) const {
     const double age = std::clamp(Seconds(now_ - s.started) / Seconds(set_.rules.ramp), 0.0, 1.0);
-    const double share = set_.rules.cold_from + (1 - set_.rules.cold_from) * age;
+    return set_.rules.cold_from + (1 - set_.rules.cold_from) * age;
+  }
+  // What a cold server may be sent, of what a warm one is.
+  double ColdBudget(const Server& s) const { return kColdMargin * set_.rules.fall_multiple * ColdShare(s); }
+  void FillCold(Server& s) const {
+    const double share = ColdShare(s);
     // Guards against warm servers that drown beside cold ones at ease: what is sent to one in excess shows
     // as slow answers long before it falls.
     const ServerId id = static_cast<ServerId>(&s - servers_.data());
@@ -573,12 +588,57 @@
     if (slower < kHomeEven) home_share_ = std::min(1.0, home_share_ + kHomeShareStep);
   }
 
+  // A key's order of the servers: the shared hash, weighed by what each is to carry, so that each comes
+  // first for its part of the keys, and a part that changes moves just the keys that differ (weighted
+  // rendezvous hashing). Least first; with equal parts it is the order of the hash, highest first.
+  static double Order(std::uint64_t key, const Server& s) {
+    return -std::log(Unit(PairHash(key, s.hash)) + 0x1.0p-54) / s.part;
+  }
+
+  // Where the key's order has moved its place away from its holders (a server carries more, or a holder
+  // less) and they answer more slowly than the first in it, that one counts as mapped: the sum of costs
+  // then decides between them as between holders. -1: nothing moves. Under modest load keys stay where they
+  // are. Guards against servers that idle beside full ones for want of keys of their own; and against
+  // moving while the origin has no room for the fetch that it costs.
+  int Home(const Request& r, const KeyTable::Entry* entry, bool sampled) const {
+    if (entry == nullptr || entry->holders.empty() || r.write || !FetchRoom(entry) ||
+        fetch_bad_ > kFetchBad / 2) {
+      return -1;
+    }
+    int home = -1, holder = -1;
+    double first = 0, held = 0;
+    for (ServerId id : up_) {
+      const Server& s = servers_[id];
+      if (loads_[id] < 0 || r.Tried(id) || (sampled && s.zone != set_.zone)) continue;
+      const double order = Order(r.key, s);
+      if (FindHolder(entry, id, s) != nullptr && (holder < 0 || order < held)) {
+        holder = static_cast<int>(id);
+        held = order;
+      }
+      if (home >= 0 && order >= first) continue;
+      home = static_cast<int>(id);
+      first = order;
+    }
+    if (holder < 0 || home == holder || first * (1 + kMoveGain) >= held) return -1;
+    const double slower = paces_.Slower(static_cast<ServerId>(holder), now_) -
+                          paces_.Slower(static_cast<ServerId>(home), now_);
+    return slower > kMoveSlower ? home : -1;
+  }
+
+  // One request more or less at one instance of hundreds is chance: a load above the mean counts in
+  // proportion to its evidence.
+  double Weighed(const Server& s, double load) const {
+    if (load <= kLIdle) return load;
+    const double looks = s.sends.Read(now_, kRateTau);
+    return kMeanLoad + (load - kMeanLoad) * looks / (looks + kLoadEvidence);
+  }
+
   // The server of the least summed cost among those ready, ties to the highest hash; -1: none is ready.
   // Where every sum is infinite (all overloaded) the order among them is that of the loads.
   int Choose(const Request& r, bool spare_ejected) {
     KeyTable::Entry* entry = r.keyed_item ? &keys_.Touch(r.key, now_) : nullptr;
     loads_.assign(servers_.size(), -1);
-    double sum = 0;
+    double sum = 0, parts = 0;
     int ready = 0, warm = 0;
     for (ServerId id : up_) {
       Server& s = servers_[id];
@@ -586,6 +646,8 @@
       warm += !Cold(s);
       const double raw = RawLoad(s);
       sum += raw;
+      s.part = paces_.Weight(id) * (Cold(s) ? std::min(1.0, ColdBudget(s)) : 1);
+      parts += s.part;
       ++ready;
       if ((spare_ejected || Healthy(s)) && Allowed(r, id) && ColdRoom(s)) loads_[id] = raw;
     }
@@ -595,33 +657,34 @@
     // threshold.
     const double mark = typical_ / Seconds(kLoadTau);
     // And a server with one request is not loaded, however idle the others are.
-    const double unit = std::max(sum / ready + mark, 1.0 / set_.balancers);
+    const double least = 1.0 / set_.balancers;
+    const bool sampled = StaysHome(r.key);
+    const int home = Home(r, entry, sampled);
     int best = -1;
     double best_cost = 0, best_load = 0;
     bool holder_busy = false, best_away = false;
-    const bool sampled = StaysHome(r.key);
-    std::uint64_t best_hash = 0;
+    double best_order = 0;
     for (ServerId id : up_) {
       if (loads_[id] < 0) continue;
       const Server& s = servers_[id];
-      const double load = kMeanLoad * loads_[id] / unit;
-      const bool mapped = FindHolder(entry, id, s) != nullptr;
+      const double load = Weighed(s, kMeanLoad * loads_[id] / std::max(sum / parts * s.part + mark, least));
+      const bool mapped = FindHolder(entry, id, s) != nullptr || static_cast<int>(id) == home;
       holder_busy |= mapped && load >= kLIdle;
       const bool again = r.Tried(id);  // a server that failed this request comes after all others
       const double cost =
           CostBalancing(load) + CostLocality(mapped) + CostReplacement(load, mapped) + (again ? 1e6 : 0);
       const bool away = sampled && s.zone != set_.zone;
-      const std::uint64_t hash = PairHash(r.key, s.hash);
+      const double order = Order(r.key, s);
       const double tie_load = std::isinf(cost) ? load : 0;
       const bool better =
           best < 0 || std::tie(cost, tie_load, away) < std::tie(best_cost, best_load, best_away) ||
-          (cost == best_cost && tie_load == best_load && away == best_away && hash > best_hash);
+          (cost == best_cost && tie_load == best_load && away == best_away && order < best_order);
       if (!better) continue;
       best = static_cast<int>(id);
       best_cost = cost;
       best_load = tie_load;
       best_away = away;
-      best_hash = hash;
+      best_order = order;
     }
     holder_busy_ = holder_busy;
     return best;
@@ -681,6 +744,7 @@
     if (s.ejected) ++s.trials;
     if (HallLost(s)) halls_[HallOf(s)].try_at = now_ + kHallTrial;
     CountInflight(s, +1);
+    s.sends.Add(now_, kRateTau, 1);
     r.attempts.push_back({id, now_, fetch});
     fetches_out_ += fetch;
     ++r.out;
@@ -834,6 +898,7 @@
     r.deadline = now_ + std::clamp(e.ttl, Duration(0), Duration(seconds(86400)));
     retry_tokens_ = std::min(kRetryBurst, retry_tokens_ + kRetryBudget);
     SetRequestTimer(TimerKind::kDeadline, r.id, r.deadline);
+    paces_.Step(now_);
     if (!watching_) SetRequestTimer(TimerKind::kWatch, 0, now_ + kWatchStep);
     watching_ = true;
     Dispatch(r);
@@ -1062,11 +1127,11 @@
         if (!s.listed) s.availability = Availability::kRemoved;
       }
       Recount();
-      if (e.kind != ListKind::kRemembered) backoff_ = seconds(1);
+      if (e.kind != ListKind::kRemembered) backoff_ = std::max<Duration>(seconds(1), Spread());
     }
     // Calls of a whole fleet at its start are spread, more widely the more balancers there are.
     if (first && set_.list_must_be_asked) {
-      AskLater(std::min<Duration>(milliseconds(50) * set_.balancers, set_.rules.ask_within / 3));
+      AskLater(Spread());
     }
   }
 
@@ -1117,6 +1182,9 @@
     if (!held_.empty()) ReleaseHeld();
   }
 
+  Duration Spread() const {
+    return std::min<Duration>(milliseconds(50) * set_.balancers, set_.rules.ask_within / 3);
+  }
   void AskLater(Duration within) {
     SetRequestTimer(TimerKind::kAsk, 0, now_ + FromSeconds(Seconds(within) * Uniform()));
   }
@@ -1166,7 +1234,7 @@
   Time fetch_cut_at_{0};
 
   bool attached_ = false, asked_ = false;
-  Duration backoff_ = seconds(1);
+  Duration backoff_{0};
 };
 
 Balancer::Balancer(const Settings& settings, std::uint64_t seed)
--- a/src/sight/paces.cpp
+++ b/src/sight/paces.cpp
@@ -10,13 +10,16 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr Duration kTau = seconds(15);  // answers fade: longer than a spell of queueing, shorter than a
-                                        // day's shift of the traffic
-constexpr double kLean = 6;             // looks that the group's pace counts for beside a server's own
-constexpr double kLeanFleet = 12;       // and the fleet's beside a group's
+constexpr Duration kTau = seconds(30);  // answers fade: a server met once in ten seconds is still known
+constexpr double kLean = 25;            // looks that the group's pace counts for beside a server's own
+constexpr double kLeanFleet = 6;        // and the fleet's beside a group's
 constexpr Duration kStep = milliseconds(500);
-constexpr double kMove = 0.06;    // of the logarithm of a weight, at one step: that share of its keys moves
-constexpr double kWorth = 0.18;   // a difference less than this is left: chance, and keys moved for nothing
+constexpr double kMove = 0.1;   // of the logarithm of a weight, at one step: that share of its keys moves
+constexpr double kWorth = 0.2;  // a difference less than this is left: chance, and keys moved for nothing
+// A server's weight falls with so high a power of its time. Servers of one core and of four, at 0.7 of what
+// they can do, are in the ratio of two in their answers' times: a power of one would leave the small ones
+// full.
+constexpr double kGain = 4;
 constexpr double kMostSize = 64;  // a stated size counts for at most so many times the mean, or its inverse
 
 }  // namespace
@@ -115,6 +118,11 @@
   return servers_[id].pace.Mean(now, group, kLean) - fleet;
 }
 
+double Paces::Wanted(ServerId id, Time now) const {
+  const Server& s = servers_[id];
+  return std::clamp(Stated(s) - kGain * Slower(id, now), std::log(kLeast), std::log(kMost));
+}
+
 bool Paces::Step(Time now) {
   if (now - stepped_ < kStep) return false;
   stepped_ = now;
@@ -124,8 +132,7 @@
     Server& s = servers_[id];
     if (!s.placed) continue;
     const double stated = Stated(s);
-    const double wanted = std::clamp(stated - Slower(id, now), std::log(kLeast), std::log(kMost));
-    const double off = wanted - s.log_weight;
+    const double off = Wanted(id, now) - s.log_weight;
     if (std::abs(off) >= kWorth) {
       s.log_weight += std::clamp(off, -kMove, kMove);
       s.weight = std::exp(s.log_weight);
--- a/src/sight/paces.h
+++ b/src/sight/paces.h
@@ -2,7 +2,7 @@
 // the others, leaning on servers of its kind and hall where it is met seldom; and the weight to give it.
 //
 // A server's time to an answer grows with its load and shrinks with its capacity, so a share of the traffic
-// that falls as the time grows brings unequal servers towards equal times without anyone naming their size
+// that falls as the time grows brings unequal servers towards even use without anyone naming their size
 // (proportional feedback on the logarithm). What the list states of their size is the start of it.
 //
 // Free of I/O; times come from the host. Bounded: one record a server, at most kMostGroups groups of like
@@ -73,6 +73,7 @@
   std::size_t GroupOf(int kind, int hall);
   double Fleet(Time now) const;  // the mean logarithm
   double Stated(const Server& s) const;
+  double Wanted(ServerId id, Time now) const;  // the logarithm of its weight
   void State(Server& s, double size);
   void Unstate(Server& s);
 
