Keep an operator's ban that the disk does not take, and say so in the call's answer

Seen: with the side file's place taken (as on a full disk) a suspend answered yes, and the next look at the older file, 250 ms later, resumed the server. Line: Operator::Look took the file's word although Save had failed (src/admin/operator.cpp); a stream's failure at close was not seen either. Ruled out: a torn file (the rename keeps the old one whole).

Change: the call holds in memory, its answer says that it is not stored, the file is tried again each 250 ms and does not undo it meanwhile; one log line at the first failure and one when it is stored.

Test: a router whose state cannot be written, a ban through its door, the disk back, and a second process that takes the ban over; fails without the change. Open: writes and reads still run on the loop, so a disk that stalls holds it.

--- a/src/admin/calls.h
+++ b/src/admin/calls.h
@@ -30,6 +30,8 @@
   // False: no cache server of that id is known.
   virtual bool Suspend(const std::string& id) = 0;
   virtual bool Resume(const std::string& id) = 0;
+  // Empty; or why what was said last is held in memory only: a restart of the process would lose it.
+  virtual std::string Unkept() const = 0;
   virtual void Drain() = 0;
   virtual void Activate() = 0;
 };
--- a/src/admin/operator.cpp
+++ b/src/admin/operator.cpp
@@ -55,7 +55,10 @@
 void Operator::Look() {
   deadlines_->Set(now_() + every_, [this] { Look(); });
   Count();
-  Count();
+  // Guards against a ban lost to a full disk: while the file lacks what was said here last, its word does
+  // not go before it.
+  if (!unkept_.empty()) Save();
+  if (!unkept_.empty()) return;
   std::string why;
   const auto state = file_->Read(why);
   if (!state) {
@@ -73,11 +76,21 @@
   }
 }
 
+// Logged once when it begins to fail and once when it works again, however often it is tried between.
 void Operator::Save() {
   if (!file_) return;
   std::string why;
-  if (!file_->Write({engine_.suspended()}, why))
-    LogLine(Level::kWarn) << "operator state not kept: " << why;
+  if (file_->Write({engine_.suspended()}, why)) {
+    if (!unkept_.empty()) LogLine(Level::kInfo) << "operator state is stored again";
+    unkept_.clear();
+    return;
+  }
+  if (unkept_.empty()) {
+    LogLine(Level::kWarn) << "operator state held in memory only, tried again each "
+                          << std::chrono::duration_cast<std::chrono::milliseconds>(every_).count()
+                          << " ms: " << why;
+  }
+  unkept_ = why;
 }
 
 bool Operator::Ready() const { return front_.ready(); }
--- a/src/admin/operator.h
+++ b/src/admin/operator.h
@@ -41,6 +41,7 @@
   std::string Figures() const override;
   bool Suspend(const std::string& id) override;
   bool Resume(const std::string& id) override;
+  std::string Unkept() const override { return unkept_; }
   void Drain() override;
   void Activate() override;
 
@@ -56,6 +57,7 @@
   std::unique_ptr<StateFile> file_;
   std::unique_ptr<LiveMarks> marks_;
   std::size_t processes_ = 1;
+  std::string unkept_;     // why the last change is not in the file yet; empty: it is
   std::string last_read_;  // what was said of the file the last time: so it is said once
   Deadlines* deadlines_ = nullptr;
   std::function<Time()> now_;
--- a/src/admin/state_file.cpp
+++ b/src/admin/state_file.cpp
@@ -43,9 +43,9 @@
   {
     std::ofstream file(side, std::ios::binary | std::ios::trunc);
     file << Encode(state);
-    file.flush();
+    file.close();  // a full disk may say so only here
     if (!file) {
-      why = side + ": cannot be written";
+      why = side + ": " + std::strerror(errno);
       std::remove(side.c_str());
       return false;
     }
--- a/tests/net/door_test.cpp
+++ b/tests/net/door_test.cpp
@@ -2,6 +2,7 @@
 #include "protocol/door.h"
 
 #include <catch2/catch.hpp>
+#include <filesystem>
 #include <string>
 #include <thread>
 #include <vector>
@@ -281,6 +282,27 @@
   CHECK(Get(r.process.door, "/v1/metrics").find("router.skipped_cache_servers:0|g\n") != std::string::npos);
 }
 
+TEST_CASE(
+    "a ban that the disk does not take holds in memory, says so, and is stored once the disk is back") {
+  DoorRouter r;
+  REQUIRE(Status(Post(r.process.door, "/v1/cache-servers/s0/suspend")) ==
+          200);  // the file is there, without s1
+  const std::string side =
+      r.dir + "/brasswood-n1.operator." + std::to_string(r.process.pid) + ".new";  // what it writes first
+  std::filesystem::create_directories(side + "/in-the-way");
+  const std::string answer = Post(r.process.door, "/v1/cache-servers/s1/suspend");
+  CHECK(Status(answer) == 200);
+  CHECK(answer.find("held in memory only, not stored") != std::string::npos);
+  // Not undone by the file, which is read again every 250 ms.
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  CHECK(Get(r.process.door, "/v1/metrics").find("router.skipped_cache_servers:2|g\n") != std::string::npos);
+  std::filesystem::remove_all(side);
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  Process second = r.StartBeside();
+  CHECK(Get(second.door, "/v1/metrics").find("router.skipped_cache_servers:2|g\n") != std::string::npos);
+  CHECK(Post(r.process.door, "/v1/cache-servers/s1/resume").find("not stored") == std::string::npos);
+}
+
 TEST_CASE("a torn state file is ignored with one line, and the router starts") {
   char path[] = "/tmp/brasswood-door-XXXXXX";
   REQUIRE(::mkdtemp(path) != nullptr);
