Keep cold servers' budget while warm ones drown, and let in only what is served

Ruled out: claims to servers that leave (0 to 400 a second), the origin (3,000 to 5,000 a second answered throughout). Lines: FillCold took LookRate, what warm servers answer now, which falls as they drown; 'at ease' needed ten answers of one server, which a router of 300 never gets in its ramp; and nothing bounds what is let in (2.2 client tries).

Change: the budget rests on what a warm server was seen to bear over 20 s; cold servers may be told at ease together; adaptive throttling of reads once fewer than half of the last seconds' requests were served; a load above the mean counts only past what chance explains.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -43,7 +43,7 @@
 constexpr Duration kEjectFirst = seconds(1);  // first ejection; doubles up to kEjectMost
 constexpr Duration kEjectMost = seconds(8);
 // A load above the mean counts as far as so many sends of the last seconds can tell it from chance.
-constexpr double kLoadEvidence = 8;
+constexpr double kLoadEvidence = 8, kChanceLoad = 10;  // and past so much of the scale
 // A key moves to a server that stands so much before its holders in its order, if they are slower by so
 // much (of the logarithm of the times).
 constexpr double kMoveGain = 0.15, kMoveSlower = 0.1;
@@ -68,6 +68,11 @@
 constexpr double kRetryBudget =
     0.2;  // further attempts per request, on average; a burst of kRetryBurst at most
 constexpr double kRetryBurst = 10;
+// Admission by what is served: how many requests are let in for each one answered in the last seconds, and
+// how many more, so that a few say nothing.
+constexpr double kThrottle = 2, kThrottleFree = 10;
+constexpr Duration kThrottleTau = seconds(3);
+constexpr Duration kBorneTau = seconds(20);
 constexpr double kFetchStart =
     16;  // fetches this instance may have out before it has learnt the origin's pace
 constexpr double kFetchBad = 0.25;  // share of fetches failed or late from which on the limit falls
@@ -348,6 +353,10 @@
     return served_.Read(now_, kRateTau) / seen / std::max(1, warm_);
   }
 
+  // What a warm one is seen to bear. Guards against cold servers left idle just as warm ones drown: those
+  // then answer few, and a budget in proportion to that would fall with them.
+  double BorneRate() const { return std::max(LookRate(), borne_.Read(now_, kBorneTau, LookRate())); }
+
   // This instance's share of what a cold server bears is in proportion to what it sends a warm one: summed
   // over all instances that is the load that warm servers are seen to bear, and less than their capacity.
   double ColdShare(const Server& s) const {
@@ -361,9 +370,12 @@
     // Guards against warm servers that drown beside cold ones at ease: what is sent to one in excess shows
     // as slow answers long before it falls.
     const ServerId id = static_cast<ServerId>(&s - servers_.data());
-    const bool at_ease = paces_.Looks(id, now_) >= kColdLooks && paces_.Slower(id, now_) < kColdAtEase;
+    const bool own = paces_.Looks(id, now_) >= kColdLooks;
+    const bool at_ease =
+        own ? paces_.Slower(id, now_) < kColdAtEase
+            : paces_.ColdLooks(now_) >= kColdLooks && paces_.ColdSlower(now_) < kColdAtEase;
     const double margin = at_ease ? kColdMarginAtEase : kColdMargin;
-    const double rate = margin * set_.rules.fall_multiple * share * LookRate();
+    const double rate = margin * set_.rules.fall_multiple * share * BorneRate();
     const double most = std::max(1.0, rate * Seconds(set_.rules.fall) / (at_ease ? 4 : 2));
     s.cold_tokens = std::min(most, s.cold_tokens + rate * Seconds(now_ - s.cold_at));
     s.cold_at = now_;
@@ -630,7 +642,8 @@
   double Weighed(const Server& s, double load) const {
     if (load <= kLIdle) return load;
     const double looks = s.sends.Read(now_, kRateTau);
-    return kMeanLoad + (load - kMeanLoad) * looks / (looks + kLoadEvidence);
+    const double chance = kLoadEvidence / (looks + kLoadEvidence);
+    return kMeanLoad + (load - kMeanLoad) * (1 - chance) - kChanceLoad * chance;
   }
 
   // The server of the least summed cost among those ready, ties to the highest hash; -1: none is ready.
@@ -758,6 +771,17 @@
     return c.effect == Effect::kKeyed && c.group == Group::kAll;
   }
 
+  // Guards against a fleet that answers nobody because it is asked by everybody again and again: once fewer
+  // than one request in kThrottle of the last seconds was served, only so many are let in as would be at
+  // that rate, by chance (adaptive throttling, Site Reliability Engineering, chapter 21). The others are
+  // told at once when to come back. Not writes: they are few, and worth more than a try.
+  bool Throttled(const Request& r) {
+    if (r.write || ClassOf(r).effect != Effect::kSafe) return false;
+    const double asked = asked_of_me_.Read(now_, kThrottleTau);
+    const double kept = kThrottle * answered_.Read(now_, kThrottleTau) + kThrottleFree;
+    return asked > kept && Uniform() < (asked - kept) / asked;
+  }
+
   // When a refused client should come back. One whose aim has passed can earn nothing more with this
   // request: its next try had better wait as long as clients will. Else about the time in which what is
   // held now gets its turn, spread a little, lest all come back at once.
@@ -899,9 +923,15 @@
     retry_tokens_ = std::min(kRetryBurst, retry_tokens_ + kRetryBudget);
     SetRequestTimer(TimerKind::kDeadline, r.id, r.deadline);
     paces_.Step(now_);
+    borne_.Hold(now_, kBorneTau, LookRate());
+    asked_of_me_.Add(now_, kThrottleTau, 1);
     if (!watching_) SetRequestTimer(TimerKind::kWatch, 0, now_ + kWatchStep);
     watching_ = true;
-    Dispatch(r);
+    if (Throttled(r)) {
+      End(r);
+    } else {
+      Dispatch(r);
+    }
     Forget(it);
   }
 
@@ -1014,6 +1044,7 @@
     switch (e.result) {
       case Result::kOk:
         served_.Add(now_, kRateTau, 1);
+        answered_.Add(now_, kThrottleTau, 1);
         times_.Add(now_ - a.sent);
         LearnPace(s, now_ - a.sent);
         if (!a.fetch && !r.write && !IsOrigin(s)) paces_.Answered(e.server, now_, now_ - a.sent, Cold(s));
@@ -1023,7 +1054,7 @@
         Judge(s, LookRate() < 1 && now_ > LastUse(r) && now_ - a.sent > times_.Quantile(0.95), false);
         break;
       case Result::kMiss:
-        paces_.Missed(e.server, now_, now_ - a.sent);
+        paces_.Missed(e.server, now_, now_ - a.sent, Cold(s));
         Judge(s, false, false);
         break;
       case Result::kError:
@@ -1225,7 +1256,8 @@
   double home_pace_ = -2, away_pace_ = -2;  // mean logarithm of the seconds to an answer
   Time home_share_at_{0};
   double again_helps_ = 0.9;  // share of overdue attempts whose next one was answered in time
-  Smoothed served_;           // answers, decaying: its value over kRateTau is the rate
+  Smoothed borne_{0, Time(0)}, asked_of_me_, answered_;
+  Smoothed served_;  // answers, decaying: its value over kRateTau is the rate
   int fetches_out_ = 0;
   double fetch_limit_ = kFetchStart;
   double fetch_bad_ = 0;
--- a/src/sight/paces.cpp
+++ b/src/sight/paces.cpp
@@ -8,11 +8,9 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
-constexpr Duration kTau = seconds(30);  // answers fade: a server met once in ten seconds is still known
-constexpr double kLean = 25;            // looks that the group's pace counts for beside a server's own
-constexpr double kLeanFleet = 6;        // and the fleet's beside a group's
+constexpr double kLean = 25;      // looks that the group's pace counts for beside a server's own
+constexpr double kLeanFleet = 6;  // and the fleet's beside a group's
 constexpr Duration kStep = milliseconds(500);
 constexpr double kMove = 0.1;   // of the logarithm of a weight, at one step: that share of its keys moves
 constexpr double kWorth = 0.2;  // a difference less than this is left: chance, and keys moved for nothing
@@ -94,18 +92,24 @@
   if (id >= servers_.size() || !servers_[id].placed) return;
   const double log_time = std::log(std::max(1e-4, Seconds(took)));
   servers_[id].pace.Add(now, log_time);
-  if (cold) return;
+  if (cold) return cold_.Add(now, log_time);
   all_[servers_[id].group].pace.Add(now, log_time);
   fleet_.Add(now, log_time);
 }
 
-void Paces::Missed(ServerId id, Time now, Duration took) {
+void Paces::Missed(ServerId id, Time now, Duration took, bool cold) {
   if (id >= servers_.size() || !servers_[id].placed || fleet_.looks.Read(now, kTau) < 1) return;
-  servers_[id].pace.Add(now, std::max(Fleet(now), std::log(std::max(1e-4, Seconds(took)))));
+  const double log_time = std::max(Fleet(now), std::log(std::max(1e-4, Seconds(took))));
+  servers_[id].pace.Add(now, log_time);
+  if (cold) cold_.Add(now, log_time);
 }
 
 double Paces::Fleet(Time now) const { return fleet_.sum.Read(now, kTau) / fleet_.looks.Read(now, kTau); }
 
+double Paces::ColdSlower(Time now) const {
+  return fleet_.looks.Read(now, kTau) < 1 ? 0 : cold_.Mean(now, Fleet(now), 1) - Fleet(now);
+}
+
 double Paces::Looks(ServerId id, Time now) const {
   return id < servers_.size() ? servers_[id].pace.looks.Read(now, kTau) : 0;
 }
--- a/src/sight/paces.h
+++ b/src/sight/paces.h
@@ -36,10 +36,14 @@
   void Answered(ServerId id, Time now, Duration took, bool cold);
 
   // A miss: no measure of its work, but as slow as an answer it tells of a queue.
-  void Missed(ServerId id, Time now, Duration took);
+  void Missed(ServerId id, Time now, Duration took, bool cold);
 
   // The natural logarithm of its time over the fleet's, as far as the evidence goes; 0: nothing known.
   double Slower(ServerId id, Time now) const;
+  // The same of all cold servers together, and how many recent answers that rests on: each balancer of a
+  // large fleet meets one of them too seldom to know it.
+  double ColdSlower(Time now) const;
+  double ColdLooks(Time now) const { return cold_.looks.Read(now, kTau); }
   // How many recent answers of its own it rests on (old ones fade).
   double Looks(ServerId id, Time now) const;
 
@@ -51,6 +55,7 @@
 
   static constexpr double kLeast = 0.25, kMost = 4;
   static constexpr std::size_t kMostGroups = 64;
+  static constexpr Duration kTau = std::chrono::seconds(30);  // answers fade
 
  private:
   struct Pace {  // of answers, old ones fading: their number and the sum of their logarithms
@@ -80,8 +85,8 @@
   std::vector<Server> servers_;
   std::map<std::pair<int, int>, std::size_t> groups_;
   std::vector<Group> all_;  // by number
-  Pace fleet_;
-  double log_sizes_ = 0;  // the sum of those stated
+  Pace fleet_, cold_;       // all warm servers; all cold ones
+  double log_sizes_ = 0;    // the sum of those stated
   int sizes_ = 0;
   Time stepped_{0};
 };
