Admit by what has ended, so that a burst at a young router is not refused

Seen: two network tests refused commands that nobody had had the time to answer: the admission counted what had come, against what was answered. Lines: On(NewRequest) counted, Throttled compared (src/choice.cpp). Ruled out: the limits on jobs and on a submitter's commands (the same before).

Change: a request counts when it ends, served or not; kChanceLoad 10 -> 6, as a server that turns away kept one key in 150 too many.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 
 #include "beechledge/balancer.h"
 #include "sight/paces.h"
@@ -43,7 +44,7 @@
 constexpr Duration kEjectFirst = seconds(1);  // first ejection; doubles up to kEjectMost
 constexpr Duration kEjectMost = seconds(8);
 // A load above the mean counts as far as so many sends of the last seconds can tell it from chance.
-constexpr double kLoadEvidence = 8, kChanceLoad = 10;  // and past so much of the scale
+constexpr double kLoadEvidence = 8, kChanceLoad = 6;  // and past so much of the scale
 // A key moves to a server that stands so much before its holders in its order, if they are slower by so
 // much (of the logarithm of the times).
 constexpr double kMoveGain = 0.15, kMoveSlower = 0.1;
@@ -777,7 +778,7 @@
   // told at once when to come back. Not writes: they are few, and worth more than a try.
   bool Throttled(const Request& r) {
     if (r.write || ClassOf(r).effect != Effect::kSafe) return false;
-    const double asked = asked_of_me_.Read(now_, kThrottleTau);
+    const double asked = ended_.Read(now_, kThrottleTau);  // what is still out may yet be answered
     const double kept = kThrottle * answered_.Read(now_, kThrottleTau) + kThrottleFree;
     return asked > kept && Uniform() < (asked - kept) / asked;
   }
@@ -802,10 +803,14 @@
     return r.attempts.empty() ? std::min(aim, half) : aim;
   }
 
+  void Finish(Request& r) {
+    if (!std::exchange(r.ended, true)) ended_.Add(now_, kThrottleTau, 1);
+  }
+
   // The one place that ends requests.
   void End(Request& r) {
     if (r.ended) return;
-    r.ended = true;
+    Finish(r);
     if (MayRefuse(r)) {
       out_->push_back(Refuse{r.id, ComeBack(r)});
     } else {
@@ -924,7 +929,6 @@
     SetRequestTimer(TimerKind::kDeadline, r.id, r.deadline);
     paces_.Step(now_);
     borne_.Hold(now_, kBorneTau, LookRate());
-    asked_of_me_.Add(now_, kThrottleTau, 1);
     if (!watching_) SetRequestTimer(TimerKind::kWatch, 0, now_ + kWatchStep);
     watching_ = true;
     if (Throttled(r)) {
@@ -938,7 +942,7 @@
   void On(const ClientGone& e) {
     const auto it = requests_.find(e.id);
     if (it == requests_.end()) return;
-    it->second.ended = true;
+    Finish(it->second);
     Forget(it);
   }
 
@@ -964,7 +968,7 @@
     // against one lost server costing a handshake with every claim at all others, at every balancer.
     if (e.result == Result::kConnectFailed) s.crowded_until = now_ + kCrowdedSpell;
     if (s.inflight == 0 && now_ < s.crowded_until) out_->push_back(CloseIdle{e.server});
-    if (e.complete) r.ended = true;
+    if (e.complete) Finish(r);
     const bool answered = e.result != Result::kTimeout && e.result != Result::kConnectFailed;
     if (e.result != Result::kMoot && (e.result != Result::kCancelled || a.overdue)) {
       HearHall(s, answered && !a.overdue);
@@ -1256,7 +1260,7 @@
   double home_pace_ = -2, away_pace_ = -2;  // mean logarithm of the seconds to an answer
   Time home_share_at_{0};
   double again_helps_ = 0.9;  // share of overdue attempts whose next one was answered in time
-  Smoothed borne_{0, Time(0)}, asked_of_me_, answered_;
+  Smoothed borne_{0, Time(0)}, ended_, answered_;
   Smoothed served_;  // answers, decaying: its value over kRateTau is the rate
   int fetches_out_ = 0;
   double fetch_limit_ = kFetchStart;
