Follow sizes that change in the list, and count servers that left in no mean

Seen on reading: Paces::Resize and Paces::Remove had no caller. A capacity_hint that changed was followed only from the server's next start on, and a server that left went on counting in the mean that sizes are held against. Lines: On(ServerList) and Take in src/choice.cpp. Each choice also computed a server's order twice, a logarithm each time (Home and Choose).

Change: both are called; orders are computed once and kept in scratch.

Test: Weights.ASizeThatChangesInTheListIsFollowedAndOneThatLeftIsForgotten; fails with either call taken out.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -15,6 +15,7 @@
 #include "beechledge/balancer.h"
 #include "sight/paces.h"
 #include "sight/smoothed.h"
+#include "sight/times.h"
 
 namespace beechledge {
 namespace {
@@ -83,10 +84,6 @@
     seconds(5);  // after a refused connection idle ones at that server are given back this long
 constexpr Duration kHoldStep = milliseconds(25);  // how often held requests are tried again
 
-Duration FromSeconds(double s) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::clamp(s, 0.0, 1e6)));
-}
-
 // A stable hash: equal at every balancer, on every machine (FNV-1a, then a finisher).
 std::uint64_t Mix(std::uint64_t x) {
   x ^= x >> 30;
@@ -106,66 +103,6 @@
   return Mix(key ^ (server * 0x9e3779b97f4a7c15ULL));
 }
 
-// Answer times on a logarithmic scale, old ones fading; gives quantiles.
-class Times {
- public:
-  void Add(Duration d) {
-    counts_[Bucket(d)] += 1;
-    total_ += 1;
-    if (total_ + never_ > 1000) {
-      for (double& c : counts_) c *= 0.5;
-      total_ *= 0.5;
-      never_ *= 0.5;
-    }
-  }
-  // What was given up after `d` would have been answered later or never: its weight goes to what is known
-  // of those, in proportion (redistribution to the right, as Efron describes for the Kaplan-Meier
-  // estimate).
-  void AddGivenUp(Duration d) {
-    const double later = total_ + never_ - Below(d);
-    if (later < 1) {
-      never_ += 1;
-      return;
-    }
-    const std::size_t from = Bucket(d) + 1;
-    for (std::size_t i = from; i < counts_.size(); ++i) {
-      total_ += counts_[i] / later;
-      counts_[i] += counts_[i] / later;
-    }
-    never_ += never_ / later;
-  }
-  // The chance that one which has been out for `out` is answered within `more`.
-  double Chance(Duration out, Duration more) const {
-    const double later = total_ + never_ - Below(out);
-    return later <= 0 || more <= Duration(0) ? 0 : (Below(out + more) - Below(out)) / later;
-  }
-  bool Known() const { return total_ >= 20; }
-  Duration Quantile(double q) const {
-    double left = q * total_;
-    for (int i = 0; i < kBuckets; ++i) {
-      left -= counts_[static_cast<std::size_t>(i)];
-      if (left <= 0) return FromSeconds(std::exp2((i - 15.5) / 4) / 1e3);
-    }
-    return seconds(60);
-  }
-
- private:
-  static constexpr int kBuckets = 84;
-  static std::size_t Bucket(Duration d) {
-    const double ms = std::max(0.01, Seconds(d) * 1e3);
-    return static_cast<std::size_t>(std::clamp(static_cast<int>(std::log2(ms) * 4) + 16, 0, kBuckets - 1));
-  }
-  double Below(Duration d) const {
-    const std::size_t last = Bucket(d);
-    double sum = 0;
-    for (std::size_t i = 0; i <= last; ++i) sum += counts_[i];
-    return sum;
-  }
-  std::array<double, kBuckets> counts_{};
-  double total_ = 0;  // answered
-  double never_ = 0;  // of those given up, what no later answer accounts for
-};
-
 struct Server {
   bool known = false;   // has been listed, under this name
   bool listed = false;  // in the list now, draining or not
@@ -623,7 +560,7 @@
     for (ServerId id : up_) {
       const Server& s = servers_[id];
       if (loads_[id] < 0 || r.Tried(id) || (sampled && s.zone != set_.zone)) continue;
-      const double order = Order(r.key, s);
+      const double order = orders_[id];
       if (FindHolder(entry, id, s) != nullptr && (holder < 0 || order < held)) {
         holder = static_cast<int>(id);
         held = order;
@@ -652,6 +589,7 @@
   int Choose(const Request& r, bool spare_ejected) {
     KeyTable::Entry* entry = r.keyed_item ? &keys_.Touch(r.key, now_) : nullptr;
     loads_.assign(servers_.size(), -1);
+    orders_.resize(servers_.size());
     double sum = 0, parts = 0;
     int ready = 0, warm = 0;
     for (ServerId id : up_) {
@@ -663,7 +601,9 @@
       s.part = paces_.Weight(id) * (Cold(s) ? std::min(1.0, ColdBudget(s)) : 1);
       parts += s.part;
       ++ready;
-      if ((spare_ejected || Healthy(s)) && Allowed(r, id) && ColdRoom(s)) loads_[id] = raw;
+      if (!(spare_ejected || Healthy(s)) || !Allowed(r, id) || !ColdRoom(s)) continue;
+      loads_[id] = raw;
+      orders_[id] = Order(r.key, s);
     }
     if (ready == 0) return -1;
     warm_ = std::max(warm, 1);
@@ -688,7 +628,7 @@
       const double cost =
           CostBalancing(load) + CostLocality(mapped) + CostReplacement(load, mapped) + (again ? 1e6 : 0);
       const bool away = sampled && s.zone != set_.zone;
-      const double order = Order(r.key, s);
+      const double order = orders_[id];
       const double tie_load = std::isinf(cost) ? load : 0;
       const bool better =
           best < 0 || std::tie(cost, tie_load, away) < std::tie(best_cost, best_load, best_away) ||
@@ -1158,8 +1098,10 @@
         for (Server& s : servers_) s.listed = false;
       }
       for (const ServerEntry& entry : e.entries) Take(entry);
-      for (Server& s : servers_) {
-        if (!s.listed) s.availability = Availability::kRemoved;
+      for (ServerId id = 0; id < servers_.size(); ++id) {
+        if (servers_[id].listed) continue;
+        servers_[id].availability = Availability::kRemoved;
+        paces_.Remove(id);  // else the mean of the sizes would go on counting it
       }
       Recount();
       if (e.kind != ListKind::kRemembered) backoff_ = std::max<Duration>(seconds(1), Spread());
@@ -1185,7 +1127,11 @@
     s.kind = entry.kind;
     s.cell = entry.cell;
     s.availability = entry.availability;
-    if (s.stated != entry.started || !s.known) paces_.Place(entry.id, s.kind, s.zone, StatedSize(entry));
+    if (s.stated != entry.started || !s.known) {
+      paces_.Place(entry.id, s.kind, s.zone, StatedSize(entry));
+    } else {
+      paces_.Resize(entry.id, StatedSize(entry));
+    }
     s.known = true;
     if (s.stated != entry.started) {
       s.stated = entry.started;
@@ -1236,10 +1182,10 @@
   Time now_{0}, began_{0};
   Actions* out_ = nullptr;
 
-  std::vector<Server> servers_;     // by ServerId
-  std::vector<ServerId> up_;        // those listed as up
-  std::vector<double> loads_;       // scratch of Choose
-  std::array<Hall, kHalls> halls_;  // by zone
+  std::vector<Server> servers_;         // by ServerId
+  std::vector<ServerId> up_;            // those listed as up
+  std::vector<double> loads_, orders_;  // scratch of Choose; an order counts where a load is set
+  std::array<Hall, kHalls> halls_;      // by zone
   Duration longest_aim_{0};
   int warm_ = 1;
   std::size_t origins_ = 0;
--- a/src/sight/paces.cpp
+++ b/src/sight/paces.cpp
@@ -77,9 +77,11 @@
 }
 
 void Paces::Resize(ServerId id, double size) {
-  if (id >= servers_.size() || !servers_[id].placed) return;
-  Unstate(servers_[id]);
-  State(servers_[id], size);
+  if (id >= servers_.size()) return;
+  Server& s = servers_[id];
+  s.placed = true;
+  Unstate(s);
+  State(s, size);
 }
 
 void Paces::Remove(ServerId id) {
--- a/src/sight/paces.h
+++ b/src/sight/paces.h
@@ -27,8 +27,10 @@
   // before is forgotten; what was learnt of its kind stays. `size`: as the list states it; 0 or less, or
   // not a number: not stated.
   void Place(ServerId id, int kind, int hall, double size);
+  // It has left the list: it counts in no mean. What it had learnt stays for its return by Resize, a gap in
+  // the list rather than another start.
   void Remove(ServerId id);
-  // The list states another size for it: its weight follows by steps.
+  // The list states this size, perhaps another than before: its weight follows by steps.
   void Resize(ServerId id, double size);
 
   // An answer that the server made itself took so long (or one was waited for in vain for half of it). Of a
--- a/src/sight/smoothed.h
+++ b/src/sight/smoothed.h
@@ -2,6 +2,7 @@
 #ifndef BEECHLEDGE_SIGHT_SMOOTHED_H_
 #define BEECHLEDGE_SIGHT_SMOOTHED_H_
 
+#include <algorithm>
 #include <cmath>
 
 #include "beechledge/balancer.h"
@@ -9,6 +10,9 @@
 namespace beechledge {
 
 inline double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+inline Duration FromSeconds(double s) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::clamp(s, 0.0, 1e6)));
+}
 
 struct Smoothed {
   double value = 0;
--- a/tests/sight/paces_test.cpp
+++ b/tests/sight/paces_test.cpp
@@ -217,6 +217,41 @@
   }
 }
 
+// Guards against a size that is followed only from a server's next start on: one that grows gets more of
+// the new keys within seconds; and against a server that left weighing on the sizes of those that stay.
+TEST(Weights, ASizeThatChangesInTheListIsFollowedAndOneThatLeftIsForgotten) {
+  Settings settings = AsideSettings(300);
+  settings.weights = Weights::kNominal;
+  Driver d(settings);
+  std::vector<ServerEntry> list;
+  std::map<int, Duration> takes;
+  for (ServerId id = 0; id < 4; ++id) {
+    list.push_back(Up(id));
+    takes[static_cast<int>(id)] = milliseconds(30);
+  }
+  const auto part = [&](int first_key) {  // of new keys, at server 0
+    std::map<int, int> sent;
+    for (int i = 0; i < 400; ++i) ++sent[d.Serve("k" + std::to_string(first_key + i), milliseconds(30))];
+    return sent[0] / 400.0;
+  };
+  d.List(ListKind::kAll, list);
+  EXPECT_NEAR(part(0), 0.25, 0.08);
+  list[0].scale = 4;
+  d.List(ListKind::kAll, list);
+  part(1000);
+  EXPECT_GT(part(2000), 0.4);
+  // A giant comes and leaves: the four are held against their own mean again.
+  ServerEntry giant = Up(4);
+  giant.scale = 1e6;
+  d.List(ListKind::kChanges, {giant});
+  giant.availability = Availability::kRemoved;
+  d.List(ListKind::kChanges, {giant});
+  part(3000);
+  const double alone = part(4000);
+  EXPECT_GT(alone, 0.4);
+  EXPECT_LT(alone, 0.7);
+}
+
 // Guards against a request at one router of 300 being taken for a full server: while one is out, keys,
 // mapped ones and new ones, mostly go where they go at a router that has none out. (Without weighing the
 // evidence more than two in five went elsewhere.)
