Use a resumed cache server only 50 ms after the yes, so that no work overtakes it

What is left: Engine::Resume told the module at once, whose held requests went out from inside the call, before its yes was written.

Change: the machine stays draining for Limits::put_back after the call; a suspend in that time keeps it out.

Tests: core, 'a machine suspended by hand ...' and '... suspended again before it is used again'; both fail without the change.

--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -60,6 +60,7 @@
   Duration max_retry_after{0};                         // 0: submitters are not told when to come back
   Duration door_call{std::chrono::milliseconds(500)};  // a door call is whole this soon after its accept
   Duration door_linger{std::chrono::seconds(1)};       // and its caller takes the answer within this
+  Duration put_back{std::chrono::milliseconds(50)};    // from the yes to a resume until its machine is used
   Duration state_look{std::chrono::milliseconds(250)};  // how often the shared operator state is read
   std::chrono::milliseconds live_stale{1000};           // a process mark not renewed this long: it has gone
 };
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -423,7 +423,8 @@
 
 MachineEntry Engine::Effective(const MachineEntry& told) const {
   MachineEntry e = told;
-  if (suspended_.contains(e.uid) && e.availability == Availability::kUp) {
+  const bool out = suspended_.contains(e.uid) || returning_.contains(e.uid);
+  if (out && e.availability == Availability::kUp) {
     e.availability = Availability::kDraining;
   }
   // Guards against a restart that discovery does not tell, or tells late: what the machine held is gone,
@@ -433,10 +434,12 @@
   return e;
 }
 
-void Engine::Retell(MachineId id) {
+void Engine::Retell(const std::string& uid) {
+  const auto it = by_uid_.find(uid);
+  if (it == by_uid_.end()) return;
   MachineList changed;
   changed.all = false;
-  changed.entries.push_back(told_[id]);
+  changed.entries.push_back(told_[it->second]);
   Take(changed, ListKind::kChanges);
 }
 
@@ -444,8 +447,12 @@
   const auto it = by_uid_.find(uid);
   if (it == by_uid_.end() && !any) return false;
   if (!suspended_.insert(uid).second) return true;
+  if (const auto back = returning_.find(uid); back != returning_.end()) {
+    deadlines_.Drop(back->second);
+    returning_.erase(back);
+  }
   LogLine(Level::kInfo) << "machine " << uid << " suspended by hand";
-  if (it != by_uid_.end()) Retell(it->second);
+  Retell(uid);
   return true;
 }
 
@@ -454,11 +461,18 @@
   if (it == by_uid_.end() && !any && !suspended_.contains(uid)) return false;
   if (suspended_.erase(uid) == 0) return true;
   LogLine(Level::kInfo) << "machine " << uid << " resumed by hand; it counts as started now";
-  resumed_[uid] = now_();
-  if (it != by_uid_.end()) Retell(it->second);
+  // Guards against work that reaches the machine before the yes reaches whoever called: until then it is
+  // out.
+  returning_[uid] = deadlines_.Set(now_() + limits_.put_back, [this, uid] { PutBack(uid); });
   return true;
 }
 
+void Engine::PutBack(const std::string& uid) {
+  returning_.erase(uid);
+  resumed_[uid] = now_();
+  Retell(uid);
+}
+
 Engine::Census Engine::Count() const {
   Census c;
   for (const Machine& m : machines_) {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -59,9 +59,10 @@
   void ListRefused();
 
   // From operators. A suspended machine is told to the module as draining, whatever discovery says, until
-  // it is resumed; from then it counts as started at that moment, since operators restart it meanwhile. A
-  // flag, not a count: one resume undoes any number of suspends. False: no machine of that uid is known,
-  // unless `any` (state kept from before this process) lets a uid that is not listed yet be taken too.
+  // it is resumed; `Limits::put_back` later it is used again and counts as started at that moment, since
+  // operators restart it meanwhile. A flag, not a count: one resume undoes any number of suspends. False:
+  // no machine of that uid is known, unless `any` (state kept from before this process) lets a uid that is
+  // not listed yet be taken too.
   bool Suspend(const std::string& uid, bool any = false);
   bool Resume(const std::string& uid, bool any = false);
   const std::set<std::string>& suspended() const { return suspended_; }
@@ -122,7 +123,8 @@
   void Take(const MachineList& list, beechledge::ListKind kind);
   // The entry as the module is told it: discovery's, with what operators said laid over it.
   MachineEntry Effective(const MachineEntry& told) const;
-  void Retell(MachineId id);
+  void Retell(const std::string& uid);
+  void PutBack(const std::string& uid);
   void CountClass(int job_class, AnswerKind kind);
 
   beechledge::Settings settings_;
@@ -140,8 +142,9 @@
   std::vector<Machine> machines_;   // by MachineId
   std::vector<MachineEntry> told_;  // by MachineId: as discovery last told it
   std::set<std::string> suspended_;
-  std::unordered_map<std::string, Time> resumed_;  // by uid: when operators last put it back
-  std::vector<MachineId> unused_;                  // numbers of machines that were forgotten
+  std::unordered_map<std::string, Deadlines::Id> returning_;  // by uid: resumed, and not used again yet
+  std::unordered_map<std::string, Time> resumed_;             // by uid: when operators last put it back
+  std::vector<MachineId> unused_;                             // numbers of machines that were forgotten
   std::unordered_map<std::string, MachineId> by_uid_;
   std::unordered_set<std::string> by_id_;  // the ids of the jobs in the table
   struct Queued {
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -273,6 +273,11 @@
   CHECK(w.engine->Count().skipped == 1);
   const Time resumed = w.now;
   REQUIRE(w.engine->Resume("s1"));  // once back undoes both
+  // Guards against work that overtakes the yes on its way to the caller.
+  CHECK(w.engine->FindMachine(0)->availability == Availability::kDraining);
+  w.engine->Told(again);
+  CHECK(w.engine->FindMachine(0)->availability == Availability::kDraining);
+  w.To(w.now + w.limits.put_back);
   CHECK(w.engine->FindMachine(0)->availability == Availability::kUp);
   CHECK(w.engine->FindMachine(0)->started >= resumed);  // it was restarted meanwhile: cold
   w.engine->Told(again);  // a list that still has the old boot time leaves it cold
@@ -281,6 +286,18 @@
   CHECK(w.engine->suspended().empty());
 }
 
+TEST_CASE("a machine suspended again before it is used again stays out") {
+  World w;
+  REQUIRE(w.engine->Suspend("s1"));
+  REQUIRE(w.engine->Resume("s1"));
+  REQUIRE(w.engine->Suspend("s1"));
+  w.To(w.now + 2 * w.limits.put_back);
+  CHECK(w.engine->FindMachine(0)->availability == Availability::kDraining);
+  REQUIRE(w.engine->Resume("s1"));
+  w.To(w.now + w.limits.put_back);
+  CHECK(w.engine->FindMachine(0)->availability == Availability::kUp);
+}
+
 TEST_CASE("a suspension kept from an earlier process holds for a machine not yet listed") {
   World w;
   REQUIRE(w.engine->Suspend("later", true));
