Split the decision module into a folder by concern; what is learnt moves to src/sight

Change: src/choice holds core.h and a file a concern (load, health, silence, choose, gate, attempts, learn, list, balancer), with its constants and records. What is learnt and decides nothing goes to src/sight with tests of its own: the origin's pace, the keys that stay home, the key table, the answer times.

--- /dev/null
+++ b/src/choice/attempts.cpp
@@ -0,0 +1,221 @@
+// Requests from their arrival to their end: sends, waits, outcomes, timers.
+#include "choice/core.h"
+
+namespace beechledge {
+
+void Balancer::Core::Dispatch(Request& r) {
+  if (set_.origin == Origin::kAside && (r.write || r.missed || up_.size() == origins_)) {
+    if (AskOrigin(r)) return;
+  } else {
+    int best = Choose(r, false);
+    if (best < 0) best = Choose(r, true);
+    if (best >= 0 && SendTo(r, static_cast<ServerId>(best))) return;
+  }
+  if (r.out == 0) Hold(r);
+}
+
+// The origin is scarce. A fetch waits while another of its key is out (single-flight), and while as many
+// are out as the origin is seen to bear: fetches that fail or come late would only keep it from those
+// that matter.
+bool Balancer::Core::FetchRoom(const KeyTable::Entry* entry) const {
+  return origin_pace_.Room() && (entry == nullptr || now_ >= entry->fetch_until);
+}
+
+// May a request held for its fetch go on: has its key come meanwhile, or is there room?
+bool Balancer::Core::FetchDue(const Request& r) {
+  const KeyTable::Entry* entry = keys_.Find(r.key);
+  if (FetchRoom(entry)) return true;
+  return entry != nullptr && std::any_of(entry->holders.begin(), entry->holders.end(),
+                                         [](const Holder& h) { return h.confirmed; });
+}
+
+bool Balancer::Core::SendTo(Request& r, ServerId id) {
+  KeyTable::Entry* entry = r.keyed_item && !r.write ? &keys_.Touch(r.key, now_) : nullptr;
+  const Holder* holder = FindHolder(entry, id, servers_[id]);
+  const bool kept = holder != nullptr && holder->confirmed;
+  const bool fetch = set_.origin == Origin::kThrough && entry != nullptr && !kept;
+  r.awaits_fetch = fetch && !FetchRoom(entry);
+  if (r.awaits_fetch) return false;
+  if (!TrySend(r, id, fetch)) return false;
+  if (fetch) entry->fetch_until = now_ + FromSeconds(2 * origin_pace_.Usual());
+  if (entry != nullptr) Join(*entry, id);
+  if (r.attempts.size() == 1 && set_.allowed.parallel_tries && ClassOf(r).effect == Effect::kSafe &&
+      times_.Known()) {
+    SetRequestTimer(TimerKind::kHedge, r.id, now_ + times_.Quantile(0.95) * 5 / 4);
+  }
+  return true;
+}
+
+bool Balancer::Core::AskOrigin(Request& r) {
+  if (!r.write && !FetchRoom(nullptr)) return false;
+  for (ServerId id : up_) {
+    if (IsOrigin(servers_[id]) && TrySend(r, id, !r.write)) return true;
+  }
+  return false;
+}
+
+// Nothing is ready for it now: wait for a server, as long as its client does.
+void Balancer::Core::Hold(Request& r) {
+  if (static_cast<int>(r.attempts.size()) >= set_.allowed.max_attempts ||
+      (ClassOf(r).effect != Effect::kSafe && r.MayHaveRun())) {
+    End(r);
+    return;
+  }
+  r.held = true;
+  held_.push_back(r.id);
+  if (!held_timer_) SetRequestTimer(TimerKind::kHeld, 0, now_ + kHoldStep);
+  held_timer_ = true;
+}
+
+void Balancer::Core::ReleaseHeld() {
+  std::vector<RequestId> held;
+  held.swap(held_);
+  // The newest first: where not all can be served, these are still worth something.
+  for (auto id = held.rbegin(); id != held.rend(); ++id) {
+    const auto it = requests_.find(*id);
+    if (it == requests_.end()) continue;
+    Request& r = it->second;
+    if (r.ended || !r.held) continue;
+    r.held = false;
+    if (now_ - r.arrived >= MostHeld(r) && MayRefuse(r)) {
+      End(r);
+    } else if (r.awaits_fetch && !FetchDue(r)) {
+      Hold(r);
+    } else {
+      Dispatch(r);
+    }
+    Forget(it);
+  }
+  std::reverse(held_.begin(), held_.end());
+}
+
+void Balancer::Core::SetRequestTimer(TimerKind kind, RequestId id, Time at) {
+  timers_.emplace(++last_token_, std::pair(kind, id));
+  out_->push_back(SetTimer{last_token_, at});
+}
+
+void Balancer::Core::On(const NewRequest& e) {
+  const auto [it, fresh] = requests_.try_emplace(e.id);
+  if (!fresh) return;  // a duplicate id: the host's mistake
+  Request& r = it->second;
+  r.id = e.id;
+  r.request_class = e.request_class;
+  r.write = e.write;
+  r.keyed_item = e.key.has_value();
+  r.key = e.key ? StableHash(*e.key) : random_();
+  r.arrived = now_;
+  r.deadline = now_ + std::clamp(e.ttl, Duration(0), Duration(seconds(86400)));
+  retry_tokens_ = std::min(kRetryBurst, retry_tokens_ + kRetryBudget);
+  SetRequestTimer(TimerKind::kDeadline, r.id, r.deadline);
+  paces_.Step(now_);
+  borne_.Hold(now_, kBorneTau, LookRate());
+  if (!watching_) SetRequestTimer(TimerKind::kWatch, 0, now_ + kWatchStep);
+  watching_ = true;
+  if (Throttled(r)) {
+    End(r);
+  } else {
+    Dispatch(r);
+  }
+  Forget(it);
+}
+
+void Balancer::Core::On(const ClientGone& e) {
+  const auto it = requests_.find(e.id);
+  if (it == requests_.end()) return;
+  Finish(it->second);
+  Forget(it);
+}
+
+void Balancer::Core::On(const Outcome& e) {
+  if (e.server >= servers_.size()) return;
+  Server& s = servers_[e.server];
+  if (e.report) TakeReport(s, *e.report);
+  const auto it = requests_.find(e.id);
+  if (it == requests_.end()) return;
+  Request& r = it->second;
+  const auto i = static_cast<std::size_t>(e.attempt);
+  if (e.attempt < 0 || i >= r.attempts.size() || !r.attempts[i].out) return;
+  Attempt& a = r.attempts[i];
+  if (e.result != Result::kTimeout && e.result != Result::kCancelled) s.heard = s.answered = now_;
+  a.out = false;
+  a.may_have_run = !NeverRan(e.result);
+  a.astray |= e.result == Result::kSpoilt || e.result == Result::kReset;
+  --r.out;
+  CountInflight(s, -1);
+  if (s.trials > 0) --s.trials;
+  // A server takes few connections; where it refuses one, an idle one is better given back to the other
+  // balancers, and where it is gone, an idle one leads nowhere. Says nothing of other servers: guards
+  // against one lost server costing a handshake with every claim at all others, at every balancer.
+  if (e.result == Result::kConnectFailed) s.crowded_until = now_ + kCrowdedSpell;
+  if (s.inflight == 0 && now_ < s.crowded_until) out_->push_back(CloseIdle{e.server});
+  if (e.complete) Finish(r);
+  const bool answered = e.result != Result::kTimeout && e.result != Result::kConnectFailed;
+  if (e.result != Result::kMoot && (e.result != Result::kCancelled || a.overdue)) {
+    HearHall(s, answered && !a.overdue);
+  }
+  Learn(s, r, a, e);
+  LearnFetch(r, a, e);
+  LearnAgain(r, a, e.result);
+  if (!r.ended && !r.streaming) Continue(r, e.result);
+  Forget(it);
+}
+
+// An attempt has ended without ending its request.
+void Balancer::Core::Continue(Request& r, Result result) {
+  if (result == Result::kMiss) {
+    r.missed = true;
+    Dispatch(r);
+    return;
+  }
+  if (r.out > 0) return;  // another attempt may still answer
+  const bool free_to_repeat =
+      r.attempts.size() == 1 && (result == Result::kConnectFailed || result == Result::kReset);
+  if (now_ < r.deadline && (free_to_repeat || retry_tokens_ >= 1)) {
+    if (!free_to_repeat) retry_tokens_ -= 1;
+    Dispatch(r);
+    if (r.out > 0 || r.held) return;
+  }
+  End(r);
+}
+
+void Balancer::Core::On(const FirstByte& e) {
+  const auto it = requests_.find(e.id);
+  if (it != requests_.end()) it->second.streaming = true;
+}
+
+void Balancer::Core::On(const ProbeResult& e) {
+  if (e.server < servers_.size() && e.report) TakeReport(servers_[e.server], *e.report);
+}
+
+void Balancer::Core::On(const TimerFired& e) {
+  const auto timer = timers_.find(e.token);
+  if (timer == timers_.end()) return;
+  const auto [kind, id] = timer->second;
+  timers_.erase(timer);
+  if (kind == TimerKind::kHeld) {
+    held_timer_ = false;
+    return ReleaseHeld();
+  }
+  if (kind == TimerKind::kAsk) return Ask();
+  if (kind == TimerKind::kWatch) {
+    FindSilent();
+    FindOverdue();
+    watching_ = !requests_.empty();
+    if (watching_) SetRequestTimer(TimerKind::kWatch, 0, now_ + kWatchStep);
+    return;
+  }
+  const auto it = requests_.find(id);
+  if (it == requests_.end() || it->second.ended || it->second.streaming) return;
+  Request& r = it->second;
+  if (kind == TimerKind::kDeadline) {
+    End(r);
+  } else if (kind == TimerKind::kHedge && r.out == 1 && retry_tokens_ >= 1) {
+    const int best = Choose(r, false);
+    if (best >= 0 && !r.Tried(static_cast<ServerId>(best)) && SendTo(r, static_cast<ServerId>(best))) {
+      retry_tokens_ -= 1;
+    }
+  }
+  Forget(it);
+}
+
+}  // namespace beechledge
--- /dev/null
+++ b/src/choice/core.h
@@ -0,0 +1,170 @@
+// The decision module inside: one class, its parts by concern in the files beside this one. load.cpp: load
+// and cold budgets; health.cpp: whom to avoid; silence.cpp: what to take back; choose.cpp: the LARD choice;
+// gate.cpp: the rules; attempts.cpp: requests; learn.cpp: what answers tell; list.cpp: the server list.
+#ifndef BEECHLEDGE_CHOICE_CORE_H_
+#define BEECHLEDGE_CHOICE_CORE_H_
+
+#include <array>
+#include <cmath>
+#include <random>
+#include <unordered_map>
+#include <utility>
+
+#include "base/stable_hash.h"
+#include "choice/records.h"
+#include "choice/tuning.h"
+#include "sight/home_share.h"
+#include "sight/key_table.h"
+#include "sight/origin_pace.h"
+#include "sight/paces.h"
+#include "sight/times.h"
+
+namespace beechledge {
+
+using namespace choice;
+
+class Balancer::Core {
+ public:
+  Core(const Settings& settings, std::uint64_t seed);
+  void Handle(Time now, const Event& event, Actions& out);
+  std::size_t Avoided() const;
+
+ private:
+  // ---- Load: the smoothed own in-flight, and a share of what the server reports ----
+  double RawLoad(const Server& s) const;
+  void TakeReport(Server& s, const LoadReport& report);
+  void CountInflight(Server& s, int change);
+
+  // ---- Cold servers: a budget of sends from the start on, kept by this instance alone ----
+  bool Cold(const Server& s) const { return s.started > Time(0) && now_ - s.started < set_.rules.ramp; }
+  double LookRate() const;
+  // What a warm one is seen to bear. Guards against cold servers left idle just as warm ones drown: those
+  // then answer few, and a budget in proportion to that would fall with them.
+  double BorneRate() const { return std::max(LookRate(), borne_.Read(now_, kBorneTau, LookRate())); }
+  double ColdShare(const Server& s) const;
+  // What a cold server may be sent, of what a warm one is.
+  double ColdBudget(const Server& s) const { return kColdMargin * set_.rules.fall_multiple * ColdShare(s); }
+  void FillCold(Server& s) const;
+  bool ColdRoom(Server& s) const;
+
+  // ---- Health: outcomes against those of the peers ----
+  void Judge(Server& s, bool failed, bool hard, bool astray = false);
+  void Eject(Server& s);
+  // The least patience that an aim leaves. (A fixed time was longer than the whole aim where all is quick.)
+  static Duration PatienceFrom(Duration aim) {
+    return aim > Duration(0) ? FromSeconds(kPatienceShare * Seconds(aim)) : kSilentLeast;
+  }
+  void FindSilent();
+  double RetryRoom() const;
+  void TakeBack(ServerId id);
+  void FindOverdue();
+  Time LastUse(const Request& r) const;
+
+  // ---- Halls: a whole one that falls silent is told from a server in trouble ----
+  static std::size_t HallOf(const Server& s) {
+    return static_cast<std::size_t>(std::clamp(s.zone, 0, kHalls - 1));
+  }
+  bool HallLost(const Server& s) const { return !IsOrigin(s) && halls_[HallOf(s)].silent >= kHallLost; }
+  void HearHall(Server& s, bool answered);
+  bool Healthy(const Server& s) const;
+
+  // ---- The LARD choice ----
+  bool IsOrigin(const Server& s) const {
+    return set_.origin == Origin::kAside && set_.origin_kind >= 0 && s.kind == set_.origin_kind;
+  }
+  static double CostBalancing(double load);
+  static double CostLocality(bool mapped) { return mapped ? 1 : kMissCost; }
+  static double CostReplacement(double load, bool mapped);
+  static const Holder* FindHolder(const KeyTable::Entry* entry, ServerId id, const Server& s);
+  bool StaysHome(std::uint64_t key) const;
+  void LearnPace(const Server& s, Duration took) {
+    if (!IsOrigin(s)) home_share_.Learn(now_, s.zone == set_.zone, took);
+  }
+  static double Order(std::uint64_t key, const Server& s);
+  int Home(const Request& r, const KeyTable::Entry* entry, bool sampled) const;
+  double Weighed(const Server& s, double load) const;
+  int Choose(const Request& r, bool spare_ejected);
+  void Join(KeyTable::Entry& entry, ServerId id);
+
+  // ---- The gate: every send passes here, and each of the rules is kept here ----
+  const RequestClass& ClassOf(const Request& r) const;
+  bool Allowed(const Request& r, ServerId id) const;
+  bool TrySend(Request& r, ServerId id, bool fetch);
+  bool MayRefuse(const Request& r) const;
+  bool Throttled(const Request& r);
+  Duration ComeBack(const Request& r);
+  Duration MostHeld(const Request& r) const;
+  void Finish(Request& r) {
+    if (!std::exchange(r.ended, true)) ended_.Add(now_, kThrottleTau, 1);
+  }
+  void End(Request& r);
+
+  // ---- Attempts ----
+  void Dispatch(Request& r);
+  bool FetchRoom(const KeyTable::Entry* entry) const;
+  bool FetchDue(const Request& r);
+  bool SendTo(Request& r, ServerId id);
+  bool AskOrigin(Request& r);
+  void Hold(Request& r);
+  void ReleaseHeld();
+  void SetRequestTimer(TimerKind kind, RequestId id, Time at);
+  void Forget(std::unordered_map<RequestId, Request>::iterator it) {
+    if (it->second.ended && it->second.out == 0) requests_.erase(it);
+  }
+  void On(const NewRequest& e);
+  void On(const ClientGone& e);
+  void On(const Outcome& e);
+  void LearnFetch(const Request& r, const Attempt& a, const Outcome& e);
+  void LearnAgain(const Request& r, const Attempt& a, Result result);
+  void Learn(Server& s, const Request& r, const Attempt& a, const Outcome& e);
+  void Continue(Request& r, Result result);
+  void On(const FirstByte& e);
+  void On(const ProbeResult& e);
+  void On(const PeerMessage&) {}
+  void On(const TimerFired& e);
+
+  // ---- The server list ----
+  void On(const ServerList& e);
+  void Take(const ServerEntry& entry);
+  double StatedSize(const ServerEntry& entry) const;
+  void Recount();
+  Duration Spread() const;
+  void AskLater(Duration within);
+  void Ask();
+  double Uniform() { return Unit(random_()); }
+
+  Settings set_;
+  std::mt19937_64 random_;
+  Time now_{0}, began_{0};
+  Actions* out_ = nullptr;
+  std::vector<Server> servers_;         // by ServerId
+  std::vector<ServerId> up_;            // those listed as up
+  std::vector<double> loads_, orders_;  // scratch of Choose; an order counts where a load is set
+  std::array<Hall, kHalls> halls_;      // by zone
+  Duration longest_aim_{0};
+  int warm_ = 1;
+  std::size_t origins_ = 0;
+  double fleet_failure_ = 0;
+  bool holder_busy_ = false;  // of the last choice: a holder stood at L_idle or above
+  Paces paces_;
+  KeyTable keys_;
+  std::unordered_map<RequestId, Request> requests_;
+  std::vector<RequestId> held_;
+  bool held_timer_ = false, watching_ = false;
+  std::unordered_map<std::uint64_t, std::pair<TimerKind, RequestId>> timers_;
+  std::uint64_t last_token_ = 0;
+  Times times_;
+  double typical_ = 0.05;  // seconds of a usual answer
+  double retry_tokens_ = kRetryBurst;
+  HomeShare home_share_;
+  double again_helps_ = 0.9;  // share of overdue attempts whose next one was answered in time
+  Smoothed borne_{0, Time(0)}, ended_, answered_;
+  Smoothed served_;  // answers, decaying: its value over kRateTau is the rate
+  OriginPace origin_pace_;
+  bool attached_ = false, asked_ = false;
+  Duration backoff_{0};
+};
+
+}  // namespace beechledge
+
+#endif  // BEECHLEDGE_CHOICE_CORE_H_
--- /dev/null
+++ b/src/choice/gate.cpp
@@ -0,0 +1,95 @@
+// The gate: every send passes here, and each of the rules is kept here; the one place that ends requests.
+#include "choice/core.h"
+
+namespace beechledge {
+
+const RequestClass& Balancer::Core::ClassOf(const Request& r) const {
+  static const RequestClass unknown{};  // unsafe, without worth
+  const auto i = static_cast<std::size_t>(r.request_class);
+  return r.request_class >= 0 && i < set_.classes.size() ? set_.classes[i] : unknown;
+}
+
+// May this request go to this server now? (Cold budget apart.)
+bool Balancer::Core::Allowed(const Request& r, ServerId id) const {
+  const Server& s = servers_[id];
+  if (r.ended || r.streaming || now_ >= r.deadline) return false;      // answered, or too late
+  if (!s.listed || s.availability != Availability::kUp) return false;  // drains are kept
+  if (static_cast<int>(r.attempts.size()) >= set_.allowed.max_attempts) return false;
+  if (r.out > 0 && !set_.allowed.parallel_tries) return false;
+  const RequestClass& c = ClassOf(r);
+  if (c.effect == Effect::kSafe) return true;
+  for (const Attempt& a : r.attempts) {  // no effect twice
+    if (!a.may_have_run) continue;
+    if (c.effect == Effect::kUnsafe) return false;
+    const Server& first = servers_[a.server];
+    if (c.group == Group::kZone && first.zone != s.zone) return false;
+    if (c.group == Group::kCell && first.cell != s.cell) return false;
+    if (now_ - a.sent >= c.window) return false;
+  }
+  return true;
+}
+
+bool Balancer::Core::TrySend(Request& r, ServerId id, bool fetch) {
+  Server& s = servers_[id];
+  if (!Allowed(r, id) || !ColdRoom(s)) return false;
+  if (Cold(s)) s.cold_tokens -= 1;
+  if (s.ejected) ++s.trials;
+  if (HallLost(s)) halls_[HallOf(s)].try_at = now_ + kHallTrial;
+  CountInflight(s, +1);
+  s.sends.Add(now_, kRateTau, 1);
+  r.attempts.push_back({id, now_, fetch});
+  if (fetch) origin_pace_.Begin();
+  ++r.out;
+  out_->push_back(Send{r.id, id, Duration(0)});
+  return true;
+}
+
+bool Balancer::Core::MayRefuse(const Request& r) const {
+  const RequestClass& c = ClassOf(r);
+  if (c.effect == Effect::kSafe || !r.MayHaveRun()) return true;
+  return c.effect == Effect::kKeyed && c.group == Group::kAll;
+}
+
+// Guards against a fleet that answers nobody because it is asked by everybody again and again: once fewer
+// than one request in kThrottle of the last seconds was served, only so many are let in as would be at
+// that rate, by chance (adaptive throttling, Site Reliability Engineering, chapter 21). The others are
+// told at once when to come back. Not writes: they are few, and worth more than a try.
+bool Balancer::Core::Throttled(const Request& r) {
+  if (r.write || ClassOf(r).effect != Effect::kSafe) return false;
+  const double asked = ended_.Read(now_, kThrottleTau);  // what is still out may yet be answered
+  const double kept = kThrottle * answered_.Read(now_, kThrottleTau) + kThrottleFree;
+  return asked > kept && Uniform() < (asked - kept) / asked;
+}
+
+// When a refused client should come back. One whose aim has passed can earn nothing more with this
+// request: its next try had better wait as long as clients will. Else about the time in which what is
+// held now gets its turn, spread a little, lest all come back at once.
+Duration Balancer::Core::ComeBack(const Request& r) {
+  if (!set_.allowed.retry_after) return Duration(0);
+  const Duration most = set_.allowed.max_retry_after;
+  const Duration aim = ClassOf(r).aim;
+  if (aim > Duration(0) && now_ - r.arrived >= aim) return most;
+  const double turns = 1 + static_cast<double>(held_.size());
+  return std::min(most, FromSeconds(typical_ * turns * (0.8 + 0.4 * Uniform())));
+}
+
+// How long a request may be held. Guards against the late refusal of what was never tried: from half of
+// its time on that costs its client more than a refusal at once.
+Duration Balancer::Core::MostHeld(const Request& r) const {
+  const Duration half = (r.deadline - r.arrived) / 2 - 2 * kHoldStep;
+  const Duration aim = ClassOf(r).aim > Duration(0) ? ClassOf(r).aim : r.deadline - r.arrived;
+  return r.attempts.empty() ? std::min(aim, half) : aim;
+}
+
+// The one place that ends requests.
+void Balancer::Core::End(Request& r) {
+  if (r.ended) return;
+  Finish(r);
+  if (MayRefuse(r)) {
+    out_->push_back(Refuse{r.id, ComeBack(r)});
+  } else {
+    out_->push_back(Fail{r.id});
+  }
+}
+
+}  // namespace beechledge
--- /dev/null
+++ b/src/choice/list.cpp
@@ -0,0 +1,98 @@
+// The server list: who is there, since when, and when to ask again.
+#include "choice/core.h"
+
+namespace beechledge {
+
+void Balancer::Core::On(const ServerList& e) {
+  const bool first = !attached_;
+  attached_ = true;
+  if (e.kind == ListKind::kRefused) {
+    asked_ = false;
+    AskLater(backoff_);
+    backoff_ = std::min(backoff_ * 2, set_.rules.ask_within / 2);
+  } else {
+    if (e.kind == ListKind::kAll || e.kind == ListKind::kRemembered) {
+      for (Server& s : servers_) s.listed = false;
+    }
+    for (const ServerEntry& entry : e.entries) Take(entry);
+    for (ServerId id = 0; id < servers_.size(); ++id) {
+      if (servers_[id].listed) continue;
+      servers_[id].availability = Availability::kRemoved;
+      paces_.Remove(id);  // else the mean of the sizes would go on counting it
+    }
+    Recount();
+    if (e.kind != ListKind::kRemembered) backoff_ = std::max<Duration>(seconds(1), Spread());
+  }
+  // Calls of a whole fleet at its start are spread, more widely the more balancers there are.
+  if (first && set_.list_must_be_asked) {
+    AskLater(Spread());
+  }
+}
+
+void Balancer::Core::Take(const ServerEntry& entry) {
+  if (entry.id >= servers_.size()) servers_.resize(entry.id + 1);
+  Server& s = servers_[entry.id];
+  const std::uint64_t hash = StableHash(entry.name);
+  if (s.hash != 0 && s.hash != hash) {      // another server under the id of one that is gone
+    const std::uint32_t life = s.life + 1;  // the keys that the old one held are not its own
+    s = {};
+    s.life = life;
+  }
+  s.hash = hash;
+  s.listed = entry.availability != Availability::kRemoved;
+  s.zone = entry.zone;
+  s.kind = entry.kind;
+  s.cell = entry.cell;
+  s.availability = entry.availability;
+  if (s.stated != entry.started || !s.known) {
+    paces_.Place(entry.id, s.kind, s.zone, StatedSize(entry));
+  } else {
+    paces_.Resize(entry.id, StatedSize(entry));
+  }
+  s.known = true;
+  if (s.stated != entry.started) {
+    s.stated = entry.started;
+    // Guards against a start that lies ahead, by a clock that is wrong: it would stay cold until then.
+    s.started = std::min(entry.started, now_);
+    ++s.life;
+    s.ejected = false;
+    s.failure_share = 0;
+    s.failure_streak = 0;
+    s.crowded_until = Time(0);
+    HearHall(s, true);
+    s.cold_tokens = Uniform();  // a random start spreads the first sends of many instances over time
+    s.cold_at = now_;
+  }
+}
+
+// Sizes that vary with the load of the moment say nothing that lasts.
+double Balancer::Core::StatedSize(const ServerEntry& entry) const {
+  return set_.weights == Weights::kNominal || set_.weights == Weights::kRough ? entry.scale : 0;
+}
+
+void Balancer::Core::Recount() {
+  up_.clear();
+  origins_ = 0;
+  for (ServerId id = 0; id < servers_.size(); ++id) {
+    if (servers_[id].availability != Availability::kUp) continue;
+    up_.push_back(id);
+    origins_ += IsOrigin(servers_[id]);
+  }
+  if (!held_.empty()) ReleaseHeld();
+}
+
+Duration Balancer::Core::Spread() const {
+  return std::min<Duration>(milliseconds(50) * set_.balancers, set_.rules.ask_within / 3);
+}
+
+void Balancer::Core::AskLater(Duration within) {
+  SetRequestTimer(TimerKind::kAsk, 0, now_ + FromSeconds(Seconds(within) * Uniform()));
+}
+
+void Balancer::Core::Ask() {
+  if (asked_) return;
+  asked_ = true;
+  out_->push_back(Subscribe{true});
+}
+
+}  // namespace beechledge
--- /dev/null
+++ b/src/choice/records.h
@@ -0,0 +1,98 @@
+// What the module keeps of servers, halls and requests.
+#ifndef BEECHLEDGE_CHOICE_RECORDS_H_
+#define BEECHLEDGE_CHOICE_RECORDS_H_
+
+#include <algorithm>
+#include <vector>
+
+#include "beechledge/balancer.h"
+#include "sight/smoothed.h"
+
+namespace beechledge::choice {
+
+struct Server {
+  bool known = false;   // has been listed, under this name
+  bool listed = false;  // in the list now, draining or not
+  std::uint64_t hash = 0;
+  int zone = 0, kind = 0, cell = 0;
+  Availability availability = Availability::kRemoved;
+  Time started{0}, stated{0};  // its last start; as the list has it, be it in the future
+  std::uint32_t life = 0;      // counts restarts: what it held before is gone
+
+  int inflight = 0;
+  Time heard{0};      // when it last answered anything, or was given work while it had none
+  Time answered{-1};  // when it last answered anything
+  Smoothed load;      // of own in-flight
+  LoadReport report;
+  Time report_at{-1};
+
+  Smoothed sends;  // decaying over kRateTau: how much evidence its load is
+  double failure_share = 0;
+  int failure_streak = 0;
+  int ejections = 0;
+  Time ejected_until{0};
+  bool ejected = false;
+  int trials = 0;  // half-open: attempts out on trial
+
+  double cold_tokens = 0;
+  Time cold_at{0};
+  double part = 1;  // scratch of Choose: what it is to carry, 1 for a warm server of mean capacity
+  std::uint32_t silent_in = 0;  // the spell of its hall's silence that it has been counted in
+  Time crowded_until{0};        // it refused a connection: idle ones are given back
+};
+
+struct Hall {
+  int silent = 0;           // servers that have failed since its last answer
+  std::uint32_t spell = 1;  // counts its answers after silence
+  Time try_at{0};           // of a lost one: when the next request may try it
+};
+inline constexpr int kHalls = 16;
+
+struct Attempt {
+  ServerId server;
+  Time sent;
+  bool fetch = false;  // a miss is likely: the origin will be asked
+  bool out = true;
+  bool may_have_run = true;
+  bool overdue = false;  // taken back for taking too long
+  // It ended by something on its way, a spoilt answer or a broken or silent connection, while its server
+  // was at work for others.
+  bool astray = false;
+};
+
+struct Request {
+  RequestId id = 0;
+  int request_class = 0;
+  bool keyed_item = false;
+  bool write = false;
+  std::uint64_t key = 0;
+  Time arrived{0}, deadline{0};
+  std::vector<Attempt> attempts;
+  int out = 0;
+  bool ended = false;
+  bool streaming = false;
+  bool held = false;
+  bool awaits_fetch = false;  // held for want of room for its fetch
+  bool missed = false;        // aside: a server has said that it lacks the key
+
+  bool MayHaveRun() const {
+    return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.may_have_run; });
+  }
+  // Has this server failed it? Guards against leaving a key's holder, and fetching what it holds, for one
+  // attempt that went astray; a second one counts.
+  bool Tried(ServerId s) const {
+    int astray = 0;
+    return std::any_of(attempts.begin(), attempts.end(),
+                       [&](const Attempt& a) { return a.server == s && (!a.astray || ++astray > 1); });
+  }
+};
+
+inline bool NeverRan(Result r) {
+  return r == Result::kFull || r == Result::kConnectFailed || r == Result::kMoot || r == Result::kMiss;
+}
+
+enum class TimerKind { kDeadline, kHedge, kHeld, kAsk, kWatch };
+
+}  // namespace beechledge::choice
+
+#endif  // BEECHLEDGE_CHOICE_RECORDS_H_
--- /dev/null
+++ b/src/choice/silence.cpp
@@ -0,0 +1,95 @@
+// What is out and will not be answered in time: found, and taken back where a repeat does no harm.
+#include "choice/core.h"
+
+namespace beechledge {
+
+// Guards against servers that take requests and answer none. Their requests would be found out only as
+// the clients give up, far too late for another try. A busy server that has said nothing for several
+// times a usual answer is ejected at once, and what it was to answer goes elsewhere where a repeat is
+// harmless and the retry budget has room. A merely loaded server still answers something, and where all
+// are slow the measure grows with them.
+void Balancer::Core::FindSilent() {
+  if (!times_.Known() || !set_.allowed.cancel) return;
+  const Duration most = std::max<Duration>(PatienceFrom(longest_aim_), 2 * times_.Quantile(0.95));
+  for (ServerId id : up_) {
+    Server& s = servers_[id];
+    const bool trial = s.ejected && s.trials > 0;
+    if (s.inflight < (trial ? 1 : kSilentFrom) || now_ - s.heard < most || IsOrigin(s)) continue;
+    if (s.ejected && !trial) continue;  // known already
+    s.heard = now_;
+    Eject(s);
+    if (s.ejected) TakeBack(id);
+  }
+}
+
+// What the retry budget still bears beside what this very event takes back already. Guards against taking
+// back more than can be asked again: the rest would be refused, though an answer might have come.
+double Balancer::Core::RetryRoom() const {
+  return retry_tokens_ - static_cast<double>(std::count_if(out_->begin(), out_->end(), [](const Action& a) {
+           return std::holds_alternative<Cancel>(a);
+         }));
+}
+
+// Cancels what is out at a server, the newest first: their clients wait longest.
+void Balancer::Core::TakeBack(ServerId id) {
+  std::vector<Request*> there;
+  for (auto& [key, r] : requests_) {
+    if (r.ended || r.streaming || r.out != 1 || ClassOf(r).effect != Effect::kSafe) continue;
+    if (r.attempts.back().out && r.attempts.back().server == id) there.push_back(&r);
+  }
+  std::sort(there.begin(), there.end(), [](const Request* a, const Request* b) {
+    return a->arrived != b->arrived ? a->arrived > b->arrived : a->id > b->id;
+  });
+  double room = RetryRoom();
+  for (Request* r : there) {
+    if ((room -= 1) < 0) break;
+    r->attempts.back().overdue = true;
+    out_->emplace_back(Cancel{r->id, static_cast<int>(r->attempts.size()) - 1});
+  }
+}
+
+// Guards against attempts that nothing will ever answer, or not in time, while another one would be: the
+// server is slow or hangs, or the connection has fallen silent. A safe request, or a keyed one within its
+// rules, is taken back once, as soon as another attempt is clearly likelier to be in time than this one,
+// by what answers take here and by how second attempts have fared; and while the retry budget lasts. In a
+// tier that is merely slow neither is likelier, and nothing is sent twice. The origin goes on with what
+// it was sent: it gets longer than answers ever take, and keeps all while it is strained.
+void Balancer::Core::FindOverdue() {
+  if (!times_.Known() || !set_.allowed.cancel) return;
+  const Duration slowest = FromSeconds(kPatience * Seconds(times_.Quantile(0.99)));
+  double room = RetryRoom();
+  for (auto& [key, r] : requests_) {
+    if (r.ended || r.streaming || r.out != 1 || !r.attempts.back().out) continue;
+    Attempt& a = r.attempts.back();
+    const Server& s = servers_[a.server];
+    const RequestClass& c = ClassOf(r);
+    const Time last = LastUse(r);
+    const Duration out = now_ - a.sent;
+    if (out < PatienceFrom(c.aim)) continue;
+    if (std::any_of(r.attempts.begin(), r.attempts.end(), [](const Attempt& o) { return o.overdue; }))
+      continue;
+    if (static_cast<int>(r.attempts.size()) >= set_.allowed.max_attempts) continue;
+    // A miss may come between, and a fetch after it: half as much again as one answer takes.
+    const double again = again_helps_ * times_.Chance(Duration(0), 2 * (last - now_) / 3);
+    if (IsOrigin(s)) {
+      if (out < slowest || origin_pace_.Strained() || again < 0.5) continue;
+    } else {
+      const double stay = HallLost(s) ? 0 : (1 - s.failure_share) * times_.Chance(out, last - now_);
+      if (again < stay + kAgainGains) continue;
+    }
+    const bool keyed = c.effect == Effect::kKeyed && c.group == Group::kAll && now_ - a.sent < c.window / 2;
+    if (c.effect != Effect::kSafe && !keyed) continue;
+    if ((room -= 1) < 0) break;
+    a.overdue = true;
+    a.astray = s.answered > a.sent;
+    out_->emplace_back(Cancel{r.id, static_cast<int>(r.attempts.size()) - 1});
+  }
+}
+
+// Until when an answer is worth anything.
+Time Balancer::Core::LastUse(const Request& r) const {
+  const Duration aim = ClassOf(r).aim;
+  return aim > Duration(0) ? std::min(r.deadline, r.arrived + aim) : r.deadline;
+}
+
+}  // namespace beechledge
--- /dev/null
+++ b/src/choice/tuning.h
@@ -0,0 +1,68 @@
+// Tuning constants: the paper's own, then ours. None is fitted to a deployment.
+#ifndef BEECHLEDGE_CHOICE_TUNING_H_
+#define BEECHLEDGE_CHOICE_TUNING_H_
+
+#include "beechledge/balancer.h"
+
+namespace beechledge {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+inline constexpr double kLIdle = 30;  // the paper's L_idle, L_overload and MissCost, on the paper's scale
+inline constexpr double kLOverload = 130;
+inline constexpr double kMissCost = 50;
+inline constexpr double kMeanLoad = 30;  // where a server of mean load stands on that scale: at L_idle
+inline constexpr Duration kLoadTau =
+    seconds(1);  // smoothing of in-flight counts: several answers, one trouble
+inline constexpr Duration kRateTau = seconds(5);  // smoothing of this instance's own rate
+inline constexpr Duration kQuietSpell =
+    seconds(10);  // a set with more holders than it needs loses one after this
+inline constexpr Duration kReportLife = seconds(3);  // a report older than this counts for nothing
+// Of the cold budget: room for misses, skew, chance and unequal machines. The larger part goes to a server
+// whose own answers, at least kColdLooks of them, show that it is at ease with the smaller.
+inline constexpr double kColdMargin = 0.4, kColdMarginAtEase = 0.75;
+inline constexpr double kColdLooks = 10, kColdAtEase = 0.3;  // the logarithm of its time over the fleet's
+inline constexpr double kHealthStep = 0.2;  // weight of one outcome in a server's failure share
+inline constexpr double kEjectShare = 0.5;  // ejected from this failure share on, if well above its peers
+inline constexpr int kEjectStreak = 3;      // or after so many failures without a success
+inline constexpr double kEjectCap = 0.4;    // at most this share of the listed servers is ejected
+inline constexpr Duration kEjectFirst = seconds(1);  // first ejection; doubles up to kEjectMost
+inline constexpr Duration kEjectMost = seconds(8);
+// A load above the mean counts as far as so many sends of the last seconds can tell it from chance.
+inline constexpr double kLoadEvidence = 8, kChanceLoad = 6;  // and past so much of the scale
+// A key moves to a server that stands so much before its holders in its order, if they are slower by so
+// much (of the logarithm of the times).
+inline constexpr double kMoveGain = 0.15, kMoveSlower = 0.1;
+inline constexpr double kLooks =
+    1;  // an ejection outlasts so many looks at the server, four times that at most
+inline constexpr std::uint64_t kHomeSalt = 0x5851f42d4c957f2dULL;
+inline constexpr int kHallLost =
+    4;  // servers of one hall that failed in a row, with no answer from it between them
+inline constexpr Duration kHallTrial = seconds(1);  // how often a lost hall is tried
+// No server is silent and no attempt overdue before this share of an aim, and no server later than the time
+// beside it for want of evidence: longer than a pause of a sound server, short enough for another attempt.
+inline constexpr double kPatienceShare = 0.25;
+inline constexpr Duration kSilentLeast = milliseconds(400);
+inline constexpr int kSilentFrom =
+    3;  // requests out from which on silence tells of the server, not of one request
+inline constexpr Duration kWatchStep =
+    milliseconds(25);                   // how often silence and overdue attempts are looked for
+inline constexpr double kPatience = 3;  // a fetch is overdue after this many times the slowest usual answer
+inline constexpr double kAgainGains =
+    0.4;  // an attempt is overdue once another is likelier in time by this much
+inline constexpr double kRetryBudget =
+    0.2;  // further attempts per request, on average; a burst of kRetryBurst at most
+inline constexpr double kRetryBurst = 10;
+// Admission by what is served: how many requests are let in for each one answered in the last seconds, and
+// how many more, so that a few say nothing.
+inline constexpr double kThrottle = 2, kThrottleFree = 10;
+inline constexpr Duration kThrottleTau = seconds(3);
+inline constexpr Duration kBorneTau = seconds(20);
+inline constexpr Duration kCrowdedSpell =
+    seconds(5);  // after a refused connection idle ones at that server are given back this long
+inline constexpr Duration kHoldStep = milliseconds(25);  // how often held requests are tried again
+
+}  // namespace beechledge
+
+#endif  // BEECHLEDGE_CHOICE_TUNING_H_
--- /dev/null
+++ b/src/sight/origin_pace.h
@@ -0,0 +1,61 @@
+// What the origin is seen to bear: how many fetches one balancer may have out, and how long they take. A
+// fetch that fails or takes far longer than unhurried ones says that the origin is strained; the limit
+// follows (additive increase, multiplicative decrease, as in Jacobson and Karels). Free of I/O.
+#ifndef BEECHLEDGE_SIGHT_ORIGIN_PACE_H_
+#define BEECHLEDGE_SIGHT_ORIGIN_PACE_H_
+
+#include <algorithm>
+
+#include "sight/smoothed.h"
+
+namespace beechledge {
+
+class OriginPace {
+ public:
+  // Another fetch goes out; one has ended, however it did.
+  void Begin() { ++out_; }
+  void End() { --out_; }
+  bool Room() const { return out_ < limit_; }
+  // Seconds of a usual fetch.
+  double Usual() const { return time_; }
+  bool Strained() const { return bad_ > kBad; }
+  bool NearStrain() const { return bad_ > kBad / 2; }
+
+  // A fetch was served after `took` seconds, from wherever.
+  void Served(double took) { time_ += 0.05 * (took - time_); }
+  // After End: the origin itself did its work (`answered`), and served it (`ok`), or did not; past `most`
+  // seconds it was late whatever others take.
+  void Learn(Time now, double took, bool ok, bool answered, double most) {
+    const bool bad = !answered || took > std::min(kSlow * base_, most);
+    // Guards against a yardstick that grows with the queue it is to find: with the fetches near their
+    // limit, longer ones tell of that limit rather than of the origin, and hardly count.
+    const bool busy = out_ + 1 > limit_ / 2;
+    const double rate = took < base_ ? 0.02 : busy ? 0.0005 : 0.01;
+    if (ok) base_ += rate * (took - base_);
+    bad_ += 0.1 * ((bad ? 1 : 0) - bad_);
+    if (bad && bad_ > kBad) {
+      if (Seconds(now - cut_at_) > time_) {
+        limit_ = std::max(1.0, limit_ * kCut);
+        cut_at_ = now;
+      }
+    } else if (!bad && busy) {
+      limit_ += 1 / limit_;
+    }
+  }
+
+ private:
+  static constexpr double kStart = 16;  // fetches that may be out before the origin's pace is learnt
+  static constexpr double kBad = 0.25;  // share of fetches failed or late from which on the limit falls
+  static constexpr double kSlow = 3;    // a fetch this many times longer than unhurried ones counts as late
+  static constexpr double kCut = 0.8;   // how far the limit falls at a time
+  int out_ = 0;
+  double limit_ = kStart;
+  double bad_ = 0;
+  double base_ = 0.1;  // seconds of an unhurried fetch: follows quick ones faster than slow ones
+  double time_ = 0.1;
+  Time cut_at_{0};
+};
+
+}  // namespace beechledge
+
+#endif  // BEECHLEDGE_SIGHT_ORIGIN_PACE_H_
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -1,17 +1,30 @@
 // The module stays short enough to be read at night.
 #include <gtest/gtest.h>
 
+#include <filesystem>
 #include <fstream>
 #include <string>
 
-TEST(Limits, ThePolicyFileIsShortAndNarrow) {
-  std::ifstream file(BEECHLEDGE_POLICY_FILE);
-  ASSERT_TRUE(file);
+TEST(Limits, ThePolicyFilesAreShortAndNarrow) {
   int lines = 0;
-  for (std::string line; std::getline(file, line);) {
-    EXPECT_LE(line.size(), 110u) << line;
-    lines += line.find_first_not_of(" \t\r") != std::string::npos;
+  for (const auto& file : std::filesystem::directory_iterator(BEECHLEDGE_POLICY_FOLDER)) {
+    std::ifstream text(file.path());
+    ASSERT_TRUE(text) << file.path();
+    for (std::string line; std::getline(text, line);) {
+      EXPECT_LE(line.size(), 110u) << file.path() << ": " << line;
+      lines += line.find_first_not_of(" \t\r") != std::string::npos;
+    }
   }
   EXPECT_GE(lines, 300);
   EXPECT_LE(lines, 1200);
 }
+
+// The deploy file names each of them, so that none escapes the count.
+TEST(Limits, TheDeployFileNamesEveryPolicyFile) {
+  std::ifstream file(std::string(BEECHLEDGE_POLICY_FOLDER) + "/../../deploy/balancer.toml");
+  const std::string deploy((std::istreambuf_iterator<char>(file)), {});
+  for (const auto& part : std::filesystem::directory_iterator(BEECHLEDGE_POLICY_FOLDER)) {
+    const std::string name = "\"src/choice/" + part.path().filename().string() + "\"";
+    EXPECT_NE(deploy.find(name), std::string::npos) << name;
+  }
+}
--- /dev/null
+++ b/tests/sight/parts_test.cpp
@@ -0,0 +1,90 @@
+// The small parts of what is learnt: the origin's pace, the keys that stay in the own hall, the key table,
+// and the histogram of answer times.
+#include <gtest/gtest.h>
+
+#include "sight/home_share.h"
+#include "sight/key_table.h"
+#include "sight/origin_pace.h"
+#include "sight/times.h"
+
+namespace beechledge::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// How many fetches it lets out at once.
+int Room(OriginPace& p) {
+  int n = 0;
+  for (; p.Room() && n < 10000; ++n) p.Begin();
+  for (int i = 0; i < n; ++i) p.End();
+  return n;
+}
+
+TEST(OriginPace, FollowsWhatTheOriginBears) {
+  OriginPace p;
+  Time now = seconds(1);
+  EXPECT_EQ(Room(p), 16);
+  const auto play = [&](int fetches, double took, bool ok) {
+    for (int i = 0; i < fetches; ++i) {
+      now += milliseconds(200);
+      int out = 0;
+      for (; p.Room(); ++out) p.Begin();  // as many out as may be
+      p.End();
+      if (ok) p.Served(took);
+      p.Learn(now, took, ok, ok, 1);
+      while (--out > 0) p.End();
+    }
+  };
+  play(100, 0.1, true);
+  EXPECT_FALSE(p.NearStrain());
+  play(40, 0.9, true);  // ninefold an unhurried one, and in time
+  EXPECT_TRUE(p.Strained());
+  play(40, 1, false);
+  EXPECT_TRUE(p.Strained());
+  EXPECT_EQ(Room(p), 1);  // never none: else nothing would tell that it is back
+  play(400, 0.05, true);
+  EXPECT_FALSE(p.Strained());
+  EXPECT_GT(Room(p), 4);
+}
+
+TEST(HomeShare, KeysCrossWhileTheOwnHallIsSlowerAndComeHomeAfterwards) {
+  HomeShare h;
+  Time now = seconds(1);
+  const auto play = [&](int home_ms, int away_ms) {
+    for (int i = 0; i < 400; ++i) {
+      now += milliseconds(50);
+      h.Learn(now, i % 2 == 0, milliseconds(i % 2 == 0 ? home_ms : away_ms));
+    }
+  };
+  play(50, 50);
+  EXPECT_EQ(h.value(), 1);
+  play(200, 50);
+  EXPECT_LT(h.value(), 0.3);
+  play(50, 50);
+  EXPECT_GT(h.value(), 0.9);
+}
+
+TEST(KeyTable, IsBoundedAndForgetsTheLeastRecentlyUsed) {
+  KeyTable t;
+  for (std::uint64_t key = 0; key < KeyTable::kMost; ++key)
+    t.Touch(key, seconds(1)).holders.push_back({1, 0});
+  t.Touch(0, seconds(2));
+  t.Touch(KeyTable::kMost, seconds(2));
+  EXPECT_NE(t.Find(0), nullptr);
+  EXPECT_EQ(t.Find(1), nullptr);
+  EXPECT_EQ(t.Find(0)->holders.size(), 1u);
+  EXPECT_TRUE(t.Find(KeyTable::kMost)->holders.empty());
+}
+
+TEST(Times, WhatWasGivenUpCountsWithWhatCameLater) {
+  Times t;
+  for (int i = 0; i < 100; ++i) t.Add(milliseconds(i < 50 ? 20 : 200));
+  const double before = t.Chance(milliseconds(50), milliseconds(400));
+  EXPECT_GT(before, 0.95);
+  for (int i = 0; i < 100; ++i) t.AddGivenUp(milliseconds(1000));
+  EXPECT_LT(t.Chance(milliseconds(50), milliseconds(400)), 0.6 * before);
+}
+
+}  // namespace
+}  // namespace beechledge::testing
