Let in reads by what is answered in time: shed a standing queue, at once and with a time

Ruled out: the origin (65 ms throughout), one zone or kind of server, failing ones (450 errors in half a second, all asked again). Lines: Throttled let all in until fewer than half of what ended was served at all.

Change: src/sight/admission.h, I/O-free; a read that is turned away may go to a cold server with room (Choose), or is refused at once (Dispatch); ComeBack grows with what is turned away.

Tests: Admission.* (a queue without end: 0 in time without, over 0.15 of 0.5 possible with; late by chance and failures turn nothing away).

--- a/src/choice/attempts.cpp
+++ b/src/choice/attempts.cpp
@@ -11,7 +11,9 @@
     if (best < 0) best = Choose(r, true);
     if (best >= 0 && SendTo(r, static_cast<ServerId>(best))) return;
   }
-  if (r.out == 0) Hold(r);
+  if (r.out > 0) return;
+  if (r.shed && r.attempts.empty()) return End(r);
+  Hold(r);
 }
 
 // The origin is scarce. A fetch waits while another of its key is out (single-flight), and while as many
@@ -111,7 +113,8 @@
   borne_.Hold(now_, kBorneTau, LookRate());
   if (!watching_) SetRequestTimer(TimerKind::kWatch, 0, now_ + kWatchStep);
   watching_ = true;
-  if (Throttled(r)) {
+  r.shed = Throttled(r);
+  if (r.shed && origin_pace_.Strained()) {
     End(r);
   } else {
     Dispatch(r);
--- a/src/choice/choose.cpp
+++ b/src/choice/choose.cpp
@@ -85,7 +85,7 @@
     s.part = paces_.Weight(id) * (Cold(s) ? std::min(1.0, ColdBudget(s)) : 1);
     parts += s.part;
     ++ready;
-    if (!(spare_ejected || Healthy(s)) || !Allowed(r, id) || !ColdRoom(s)) continue;
+    if (!(spare_ejected || Healthy(s)) || !Allowed(r, id) || !ColdRoom(s) || (r.shed && !Cold(s))) continue;
     loads_[id] = raw;
     orders_[id] = Order(r.key, s);
   }
--- a/src/choice/core.h
+++ b/src/choice/core.h
@@ -13,6 +13,7 @@
 #include "base/stable_hash.h"
 #include "choice/records.h"
 #include "choice/tuning.h"
+#include "sight/admission.h"
 #include "sight/home_share.h"
 #include "sight/key_table.h"
 #include "sight/origin_pace.h"
@@ -95,7 +96,7 @@
   Duration ComeBack(const Request& r);
   Duration MostHeld(const Request& r) const;
   void Finish(Request& r) {
-    if (!std::exchange(r.ended, true)) ended_.Add(now_, kThrottleTau, 1);
+    if (!std::exchange(r.ended, true)) admission_.Ended(now_);
   }
   void End(Request& r);
 
@@ -142,6 +143,7 @@
   std::vector<double> loads_, orders_;  // scratch of Choose; an order counts where a load is set
   std::array<Hall, kHalls> halls_;      // by zone
   Duration longest_aim_{0};
+  double mean_worth_ = 0;  // of the reads asked lately; 0: none yet
   int warm_ = 1;
   std::size_t origins_ = 0;
   double fleet_failure_ = 0;
@@ -158,7 +160,8 @@
   double retry_tokens_ = kRetryBurst;
   HomeShare home_share_;
   double again_helps_ = 0.9;  // share of overdue attempts whose next one was answered in time
-  Smoothed borne_{0, Time(0)}, ended_, answered_;
+  Smoothed borne_{0, Time(0)};
+  Admission admission_;
   Smoothed served_;  // answers, decaying: its value over kRateTau is the rate
   OriginPace origin_pace_;
   bool attached_ = false, asked_ = false;
--- a/src/choice/gate.cpp
+++ b/src/choice/gate.cpp
@@ -50,15 +50,18 @@
   return c.effect == Effect::kKeyed && c.group == Group::kAll;
 }
 
-// Guards against a fleet that answers nobody because it is asked by everybody again and again: once fewer
-// than one request in kThrottle of the last seconds was served, only so many are let in as would be at
-// that rate, by chance (adaptive throttling, Site Reliability Engineering, chapter 21). The others are
-// told at once when to come back. Not writes: they are few, and worth more than a try.
+// Guards against a fleet that answers nobody in time because it is asked more than it can serve: a part of
+// the reads is told at once to come later, those of little worth first and none wholly. Not writes: they
+// are few, and worth more than a try.
 bool Balancer::Core::Throttled(const Request& r) {
   if (r.write || ClassOf(r).effect != Effect::kSafe) return false;
-  const double asked = ended_.Read(now_, kThrottleTau);  // what is still out may yet be answered
-  const double kept = kThrottle * answered_.Read(now_, kThrottleTau) + kThrottleFree;
-  return asked > kept && Uniform() < (asked - kept) / asked;
+  admission_.Asked(now_);
+  const double worth = std::max(0.01, ClassOf(r).worth);
+  mean_worth_ += (mean_worth_ > 0 ? 0.01 : 1) * (worth - mean_worth_);
+  const double share = admission_.Share(now_);
+  if (share >= 1) return false;
+  const double against = set_.worth_by_work ? 1 : std::clamp(mean_worth_ / worth, 0.5, 2.0);
+  return Uniform() < 1 - std::pow(share, against);
 }
 
 // When a refused client should come back. One whose aim has passed can earn nothing more with this
@@ -69,8 +72,9 @@
   const Duration most = set_.allowed.max_retry_after;
   const Duration aim = ClassOf(r).aim;
   if (aim > Duration(0) && now_ - r.arrived >= aim) return most;
-  const double turns = 1 + static_cast<double>(held_.size());
-  return std::min(most, FromSeconds(typical_ * turns * (0.8 + 0.4 * Uniform())));
+  const double turns = 1 + static_cast<double>(held_.size()), any = Uniform();
+  const double crowd = (1 - admission_.Share(now_)) * Seconds(most) / 2;  // grows with what is turned away
+  return std::min(most, FromSeconds(typical_ * turns * (0.8 + 0.4 * any) + crowd * (0.5 + any)));
 }
 
 // How long a request may be held. Guards against the late refusal of what was never tried: from half of
--- a/src/choice/learn.cpp
+++ b/src/choice/learn.cpp
@@ -53,7 +53,7 @@
   switch (e.result) {
     case Result::kOk:
       served_.Add(now_, kRateTau, 1);
-      answered_.Add(now_, kThrottleTau, 1);
+      admission_.Answered(now_, ClassOf(r).aim > Duration(0) && !r.write, now_ > LastUse(r));
       times_.Add(now_ - a.sent);
       LearnPace(s, now_ - a.sent);
       if (!a.fetch && !r.write && !IsOrigin(s)) paces_.Answered(e.server, now_, now_ - a.sent, Cold(s));
--- a/src/choice/records.h
+++ b/src/choice/records.h
@@ -73,6 +73,7 @@
   bool streaming = false;
   bool held = false;
   bool awaits_fetch = false;  // held for want of room for its fetch
+  bool shed = false;          // turned away from warm servers: only a cold one with room may serve it
   bool missed = false;        // aside: a server has said that it lacks the key
 
   bool MayHaveRun() const {
--- a/src/choice/tuning.h
+++ b/src/choice/tuning.h
@@ -54,10 +54,6 @@
 inline constexpr double kRetryBudget =
     0.2;  // further attempts per request, on average; a burst of kRetryBurst at most
 inline constexpr double kRetryBurst = 10;
-// Admission by what is served: how many requests are let in for each one answered in the last seconds, and
-// how many more, so that a few say nothing.
-inline constexpr double kThrottle = 2, kThrottleFree = 10;
-inline constexpr Duration kThrottleTau = seconds(3);
 inline constexpr Duration kBorneTau = seconds(20);
 inline constexpr Duration kCrowdedSpell =
     seconds(5);  // after a refused connection idle ones at that server are given back this long
--- a/tests/sight/parts_test.cpp
+++ b/tests/sight/parts_test.cpp
@@ -2,6 +2,7 @@
 // and the histogram of answer times.
 #include <gtest/gtest.h>
 
+#include "sight/admission.h"
 #include "sight/home_share.h"
 #include "sight/key_table.h"
 #include "sight/origin_pace.h"
@@ -65,6 +66,63 @@
   EXPECT_GT(h.value(), 0.9);
 }
 
+// A fleet that can give so many reads a second; what comes beyond that waits, without end, in a queue.
+struct Fleet {
+  Admission admission;
+  double capacity = 100;
+  bool sheds = true;
+  Time now = seconds(100);
+  double queue = 0, in = 0, served = 0;
+  // The share of what was asked in that time that was answered within half a second.
+  double Play(Duration length, double asked) {
+    double in_time = 0, all = 0;
+    for (const Time until = now + length; now < until; now += milliseconds(10)) {
+      const double share = sheds ? admission.Share(now) : 1;
+      all += asked / 100;
+      for (in += asked / 100; in >= 1; in -= 1) {
+        admission.Asked(now);
+        admission.Ended(now);
+      }
+      const bool late = queue / capacity > 0.5;
+      queue += share * asked / 100;
+      const double given = std::min(queue, capacity / 100);
+      queue -= given;
+      if (!late) in_time += given;
+      for (served += given; served >= 1; served -= 1) admission.Answered(now, true, late);
+    }
+    return in_time / all;
+  }
+};
+
+// Twice what can be served: half of it can be in time, and next to nothing is where all is let in.
+TEST(Admission, UnderAQueueItLetsInWhatIsServedAndAllOnceItIsGone) {
+  for (const bool sheds : {false, true}) {
+    Fleet f;
+    f.sheds = sheds;
+    EXPECT_GT(f.Play(seconds(5), 80), 0.99);
+    EXPECT_EQ(f.admission.Share(f.now), 1);
+    f.Play(seconds(3), 200);
+    const double in_time = f.Play(seconds(10), 200);
+    EXPECT_EQ(sheds, in_time > 0.15) << in_time;
+    if (!sheds) continue;
+    f.Play(seconds(6), 80);
+    EXPECT_EQ(f.admission.Share(f.now), 1);
+    EXPECT_GT(f.Play(seconds(5), 80), 0.99);
+  }
+}
+
+TEST(Admission, AFewLateAnswersOrFailuresTurnNothingAway) {
+  Admission a;
+  Time now = seconds(100);
+  for (int i = 0; i < 4000; ++i) {
+    now += milliseconds(50);
+    a.Asked(now);
+    a.Ended(now);
+    if (i % 4 != 0) a.Answered(now, true, i % 10 == 0);  // a quarter fails, a tenth is late
+    EXPECT_EQ(a.Share(now), 1);
+  }
+}
+
 TEST(KeyTable, IsBoundedAndForgetsTheLeastRecentlyUsed) {
   KeyTable t;
   for (std::uint64_t key = 0; key < KeyTable::kMost; ++key)
