Laboratory: routers of unequal traffic, and what routers avoid beside what is true

Need: no scenario had routers of unequal traffic, no test showed that a link broken at some routers moves those routers' keys only, and a report showed the truth without what the routers believed.

--- a/include/beechledge/balancer.h
+++ b/include/beechledge/balancer.h
@@ -251,6 +251,7 @@
   // For figures, and it decides nothing: the servers listed as up, other than the origin's kind, that the
   // module avoids now by its own choice (ejected after failures, or in a hall that has fallen silent).
   std::size_t Avoided() const;
+  bool Avoids(ServerId id) const;
 
  private:
   class Core;
--- a/lab/base/plan.h
+++ b/lab/base/plan.h
@@ -59,6 +59,19 @@
   return routers;
 }
 
+// How much of its hall's traffic each router gets against the others: the busy ones are drawn from the
+// seed.
+inline std::vector<double> RouterWeights(const Scenario& s) {
+  std::vector<double> weights(s.halls.size() * static_cast<std::size_t>(s.routers.per_hall), 1);
+  std::vector<std::size_t> order(weights.size());
+  for (std::size_t r = 0; r < order.size(); ++r) order[r] = r;
+  Rng rng = MakeRng(Mix(s.seed * 149), Stream::kClients);
+  std::shuffle(order.begin(), order.end(), rng);
+  order.resize(static_cast<std::size_t>(std::lround(s.load.busy_part * static_cast<double>(order.size()))));
+  for (const std::size_t r : order) weights[r] = s.load.busy_times;
+  return weights;
+}
+
 // The group of a partition that a router (or node) falls into: the same count of each, as far as it goes.
 inline std::vector<int> Groups(const Scenario& s, std::size_t number, std::size_t count,
                                std::uint64_t salt) {
--- a/lab/base/scenario.cpp
+++ b/lab/base/scenario.cpp
@@ -127,6 +127,8 @@
   l.honour = in.Number("honour", l.honour, 0, 1);
   l.try_share = in.Number("try_share", l.try_share, 0.05, 1);
   l.notice = Ms(in.Number("notice_ms", 1000, 1, 60000));
+  l.busy_part = in.Number("busy_part", l.busy_part, 0, 1);
+  l.busy_times = in.Number("busy_times", l.busy_times, 1, 1000);
   l.late_limit = Ms(in.Number("late_limit_ms", 20, 0.01, 60000));
 }
 
--- a/lab/base/scenario.h
+++ b/lab/base/scenario.h
@@ -88,10 +88,12 @@
   Pool pool = Pool::kKeep;
   Duration client_idle{0};  // a client closes a connection that has rested this long
   int retries = 1;
-  Duration backoff{0};     // doubled for each further one, +-50%
-  double honour = 1;       // share of clients that come back no sooner than told
-  double try_share = 1;    // of the give-up time that a try waits
-  Duration notice{0};      // a router that cannot be reached is left out for this long
+  Duration backoff{0};   // doubled for each further one, +-50%
+  double honour = 1;     // share of clients that come back no sooner than told
+  double try_share = 1;  // of the give-up time that a try waits
+  Duration notice{0};    // a router that cannot be reached is left out for this long
+  double busy_part = 0;  // share of the routers that get busy_times the others' traffic
+  double busy_times = 1;
   Duration late_limit{0};  // sending later than this, at the 99.9th percentile, voids the run
 };
 
--- a/lab/load/load.cpp
+++ b/lab/load/load.cpp
@@ -21,6 +21,7 @@
 Load::Load(const Scenario& scenario, const std::vector<std::string>& routers)
     : scenario_(scenario),
       down_until_(routers.size()),
+      weights_(RouterWeights(scenario)),
       schedule_(scenario),
       rng_(MakeRng(scenario.seed, Stream::kClients)),
       idle_(std::max(static_cast<std::size_t>(scenario.load.clients), scenario.halls.size())) {
@@ -90,11 +91,18 @@
   const int first = hall * scenario_.routers.per_hall;
   const int n = std::min(scenario_.routers.per_hall, static_cast<int>(routers_.size()) - first);
   std::vector<int> up;
+  double all = 0;
   for (int r = first; r < first + n; ++r) {
-    if (down_until_[static_cast<std::size_t>(r)] <= loop_.Now()) up.push_back(r);
+    if (down_until_[static_cast<std::size_t>(r)] > loop_.Now()) continue;
+    up.push_back(r);
+    all += weights_[static_cast<std::size_t>(r)];
   }
   if (up.empty()) return first + static_cast<int>(rng_(static_cast<std::uint32_t>(n)));
-  return up[rng_(static_cast<std::uint32_t>(up.size()))];
+  double at = all * static_cast<double>(rng_()) / 4294967296.0;
+  for (const int r : up) {
+    if ((at -= weights_[static_cast<std::size_t>(r)]) < 0) return r;
+  }
+  return up.back();
 }
 
 void Load::Put(std::uint32_t intent, RequestId id, int number, bool resent) {
--- a/lab/load/load.h
+++ b/lab/load/load.h
@@ -69,6 +69,7 @@
   const Scenario& scenario_;
   std::vector<sockaddr_in> routers_;
   std::vector<Time> down_until_;
+  std::vector<double> weights_;  // by router
   Loop loop_{true};
   Schedule schedule_;
   Rng rng_;
--- a/lab/report/html.cpp
+++ b/lab/report/html.cpp
@@ -4,6 +4,7 @@
 #include <iomanip>
 #include <sstream>
 
+#include "lab/report/beliefs.h"
 #include "lab/report/write.h"
 
 namespace brasswood::lab {
@@ -165,30 +166,30 @@
   return line;
 }
 
-// Use of each node, second by second: a column a second, a row a node, darker the fuller, red past its all.
-std::string HeatMap(const Figures& f) {
+// A column a second, a row a node (those without figures left out); darker is more, `past` more than all.
+std::string HeatMap(const std::vector<std::vector<float>>& figures, const std::string& title,
+                    const std::string& about, const char* colour, const char* past) {
   constexpr double kWide = 784, kRow = 9;
   std::ostringstream out;
   std::size_t rows = 0, seconds = 0;
-  for (const auto& row : f.spread.use) seconds = std::max(seconds, row.size());
+  for (const auto& row : figures) seconds = std::max(seconds, row.size());
   if (seconds == 0) return {};
   const double wide = kWide / static_cast<double>(seconds);
-  for (std::size_t m = 0; m < f.spread.use.size(); ++m) {
-    if (f.spread.use[m].empty()) continue;
+  for (const auto& row : figures) {
+    if (row.empty()) continue;
     for (std::size_t second = 0; second < seconds; ++second) {
-      const double use = f.spread.use[m][second];
-      if (use <= 0) continue;
+      const double v = row[second];
+      if (v <= 0) continue;
       out << "<rect x='" << 64 + wide * static_cast<double>(second) << "' y='"
           << 4 + kRow * static_cast<double>(rows) << "' width='" << wide << "' height='" << kRow
-          << "' fill='" << (use > 1 ? "#b3400b" : "#0072b2") << "' opacity='" << std::min(1.0, use)
-          << "'/>";
+          << "' fill='" << (v > 1 ? past : colour) << "' opacity='" << std::min(1.0, v) << "'/>";
     }
     ++rows;
   }
   std::ostringstream all;
-  all << "<figure><figcaption>Use of the nodes <small>(a row each, second by second; darker is fuller, red "
-         "is more than it can do)</small></figcaption><svg viewBox='0 0 860 "
-      << 12 + kRow * static_cast<double>(rows) << "' role='img'>" << out.str() << "</svg></figure>";
+  all << "<figure><figcaption>" << title << " <small>(" << about
+      << ")</small></figcaption><svg viewBox='0 0 860 " << 12 + kRow * static_cast<double>(rows)
+      << "' role='img'>" << out.str() << "</svg></figure>";
   return all.str();
 }
 
@@ -291,7 +292,13 @@
       << Escape(s.name) << ": <span class='" << Name(Decide(outcome, f)) << "'>" << Name(Decide(outcome, f))
       << "</span></h1><p>" << Escape(s.about) << "</p><pre>" << Escape(Summary(outcome, f)) << "</pre>";
   for (const Plot& plot : plots) out << Drawing(plot, f, length).Draw();
-  out << HeatMap(f) << NodeTable(f);
+  out << HeatMap(f.spread.use, "Use of the nodes",
+                 "a row each, second by second; darker is fuller, red is more than it can do", kColours[0],
+                 "#b3400b")
+      << HeatMap(ReadAvoided(outcome.truth), "Avoided by routers",
+                 "the same rows; darker: by more of the routers, as their debug logs say", kColours[7],
+                 kColours[7])
+      << NodeTable(f);
   if (!outcome.breaches.empty()) {
     out << "<h2>Broken rules</h2><pre>";
     for (std::size_t i = 0; i < outcome.breaches.size() && i < 20; ++i) {
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -27,8 +27,10 @@
   g_from = from;
 }
 
+bool Logs(Level level) { return level >= g_from && level != Level::kOff; }
+
 LogLine::LogLine(Level level) {
-  if (level < g_from || level == Level::kOff) return;
+  if (!Logs(level)) return;
   const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
                       std::chrono::system_clock::now().time_since_epoch())
                       .count();
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -19,6 +19,9 @@
 // Where lines go and from which level on. The defaults are std::cerr and kInfo.
 void SetLog(std::ostream& to, Level from);
 
+// Is a line of this level written at all?
+bool Logs(Level level);
+
 class LogLine {
  public:
   explicit LogLine(Level level);
--- a/src/choice/balancer.cpp
+++ b/src/choice/balancer.cpp
@@ -22,10 +22,13 @@
   out_ = nullptr;
 }
 
+bool Balancer::Core::Avoids(ServerId id) const {
+  if (id >= servers_.size() || servers_[id].availability != Availability::kUp) return false;
+  return servers_[id].kind != set_.origin_kind && !Healthy(servers_[id]);
+}
 std::size_t Balancer::Core::Avoided() const {
-  return static_cast<std::size_t>(std::count_if(up_.begin(), up_.end(), [&](ServerId id) {
-    return servers_[id].kind != set_.origin_kind && !Healthy(servers_[id]);
-  }));
+  return static_cast<std::size_t>(
+      std::count_if(up_.begin(), up_.end(), [&](ServerId id) { return Avoids(id); }));
 }
 
 Balancer::Balancer(const Settings& settings, std::uint64_t seed)
@@ -35,5 +38,6 @@
 Balancer& Balancer::operator=(Balancer&&) noexcept = default;
 void Balancer::Handle(Time now, const Event& event, Actions& out) { core_->Handle(now, event, out); }
 std::size_t Balancer::Avoided() const { return core_->Avoided(); }
+bool Balancer::Avoids(ServerId id) const { return core_->Avoids(id); }
 
 }  // namespace beechledge
--- a/src/choice/core.h
+++ b/src/choice/core.h
@@ -28,6 +28,7 @@
  public:
   Core(const Settings& settings, std::uint64_t seed);
   void Handle(Time now, const Event& event, Actions& out);
+  bool Avoids(ServerId id) const;
   std::size_t Avoided() const;
 
  private:
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -349,6 +349,17 @@
 void Engine::Remember(const MachineList& known) {
   Take(known, ListKind::kRemembered);
   ready_ = true;
+  if (Logs(Level::kDebug)) LogBeliefs();
+}
+
+// What the module avoids by its own choice, twice a second: for whoever compares it with what is true.
+void Engine::LogBeliefs() {
+  LogLine line(Level::kDebug);
+  line << "avoids:";
+  for (MachineId id = 0; id < machines_.size(); ++id) {
+    if (balancer_.Avoids(id)) line << ' ' << machines_[id].uid;
+  }
+  deadlines_.Set(now_() + std::chrono::milliseconds(500), [this] { LogBeliefs(); });
 }
 void Engine::Told(const MachineList& list) {
   ++counters_.lists;
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -126,6 +126,7 @@
   void Retell(const std::string& uid);
   void PutBack(const std::string& uid);
   void CountClass(int job_class, AnswerKind kind);
+  void LogBeliefs();
 
   beechledge::Settings settings_;
   beechledge::Balancer balancer_;
--- a/tests/lab/fleet_test.cpp
+++ b/tests/lab/fleet_test.cpp
@@ -1,9 +1,11 @@
 // 24 processes of the router with faults put between them and their machines: judged by what the emulator
 // saw, never by the routers' word. Each row also shows that its fault was really there.
 #include <catch2/catch.hpp>
+#include <map>
 #include <set>
 
 #include "lab/base/plan.h"
+#include "lab/report/beliefs.h"
 #include "site.h"
 
 using namespace brasswood;
@@ -137,6 +139,63 @@
   }
 }
 
+// A router whose links break moves its own keys; the other routers' stay where they are.
+TEST_CASE("a broken link at some routers moves those routers' keys only") {
+  Folder folder;
+  const Outcome outcome =
+      Play(FleetSite("[[fault]]\nkind = 'link_cut'\ncount = 2\nrouter_part = 0.25\nat_s = 3\nfor_s = 3\n"),
+           {BRASSWOOD_PROGRAM}, folder.path, {"length_s=6", "load.rate=200", "load.keys=60"});
+  for (const Breach& b : outcome.breaches) FAIL_CHECK(Story(outcome.truth, b));
+  const Truth& t = outcome.truth;
+  const std::vector<int> cut = VictimRouters(t.scenario, 0);
+  // Of the claims at nodes by routers whose links hold: each machine's share, before the fault and in it.
+  std::map<int, double> before, within;
+  double all_before = 0, all_within = 0;
+  for (const ClaimRecord& c : t.world.claims) {
+    if (c.machine == kOrigin || std::find(cut.begin(), cut.end(), c.router) != cut.end()) continue;
+    const bool in = During(t, c.whole);
+    if (!in && c.whole > t.start + t.scenario.faults[0].at) continue;
+    (in ? within : before)[c.machine] += 1;
+    (in ? all_within : all_before) += 1;
+  }
+  REQUIRE(all_before > 100);
+  REQUIRE(all_within > 100);
+  double moved = 0;
+  for (std::size_t m = 1; m < t.world.machines.size(); ++m) {
+    const int machine = static_cast<int>(m);
+    moved += std::abs(before[machine] / all_before - within[machine] / all_within) / 2;
+  }
+  CHECK(moved < 0.15);
+}
+
+// The busy routers get their times the others' traffic, and a router's log says what it avoids.
+TEST_CASE("routers of unequal traffic, and what they believe") {
+  Folder folder;
+  ::setenv("BRASSWOOD_LOG", "debug", 1);
+  const Outcome outcome =
+      Play(FleetSite("[[fault]]\nkind = 'silent'\ncount = 3\nat_s = 1\nfor_s = 3\n"), {BRASSWOOD_PROGRAM},
+           folder.path, {"length_s=4", "load.rate=200", "load.busy_part=0.25", "load.busy_times=8"});
+  ::unsetenv("BRASSWOOD_LOG");
+  const Truth& t = outcome.truth;
+  const std::vector<double> weights = RouterWeights(t.scenario);
+  double busy = 0, others = 0;
+  for (const TryRecord& r : t.load.tries) {
+    if (r.router < 0) continue;
+    (weights[static_cast<std::size_t>(r.router)] > 1 ? busy : others) += 1;
+  }
+  REQUIRE(std::count(weights.begin(), weights.end(), 8.0) == 6);
+  CHECK(busy > others);  // 6 routers at eight times beside 18: 48 parts to 18
+  const auto avoided = ReadAvoided(t);
+  REQUIRE(avoided.size() == t.world.machines.size());
+  double most = 0, before = 0;
+  for (std::size_t m = 1; m < avoided.size(); ++m) {
+    before += avoided[m][0];
+    most = std::max(most, static_cast<double>(avoided[m][3]));
+  }
+  CHECK(before == 0);
+  CHECK(most > 0.2);  // the silent ones are avoided by many
+}
+
 TEST_CASE("an emulator that uses up its core voids the run") {
   Folder folder;
   // 90 requests a second is nothing: what it costs is planted.
