Take the disk off the loop: a stalled disk holds up no call, no job and no exit

Change: src/state/disk_thread, a thread with bounded, named work; the operators' state and the marks go through it (src/state/whole_file: side file, fsync, rename); a call's answer waits up to 0.3 s for the disk's word, on the loop's deadlines, and says where it is not stored. Where there is no door there is no thread.

Tests: a state file whose place is taken by a pipe, so that whoever opens it waits: calls, a job and SIGTERM go through, and what was said last is stored when the disk is back (without the change the loop hangs at the first look); named work; whole files.

--- a/src/admin/calls.cpp
+++ b/src/admin/calls.cpp
@@ -45,17 +45,12 @@
   return none;
 }
 
-namespace {
-
-// The call holds either way; its answer says so where it could not be stored.
-CallAnswer Held(std::string what, const Operations& router) {
-  const std::string why = router.Unkept();
-  if (!why.empty()) what += "; held in memory only, not stored: " + why;
-  return {200, what + "\n"};
+// The call holds either way.
+std::string HeldOnly(const std::string& body, const std::string& why) {
+  if (why.empty()) return body;
+  return body.substr(0, body.find('\n')) + "; held in memory only, not stored: " + why + "\n";
 }
 
-}  // namespace
-
 CallAnswer AnswerCall(std::string_view method, std::string_view path, Operations& router) {
   const Route route = Resolve(method, path);
   if (route.status == 404) return {404, "no such call\n"};
@@ -67,10 +62,10 @@
       return {200, router.Figures()};
     case CallKind::kSuspend:
       if (!router.Suspend(route.id)) return {404, "no cache server " + route.id + "\n"};
-      return Held("suspended " + route.id, router);
+      return {200, "suspended " + route.id + "\n", "text/plain", true};
     case CallKind::kResume:
       if (!router.Resume(route.id)) return {404, "no cache server " + route.id + "\n"};
-      return Held("resumed " + route.id, router);
+      return {200, "resumed " + route.id + "\n", "text/plain", true};
     case CallKind::kDrain:
       router.Drain();
       return {200, "draining\n"};
--- a/src/admin/calls.h
+++ b/src/admin/calls.h
@@ -3,6 +3,7 @@
 #ifndef BRASSWOOD_ADMIN_CALLS_H_
 #define BRASSWOOD_ADMIN_CALLS_H_
 
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -21,7 +22,8 @@
 // /v1/router/drain and /v1/router/activate (POST). An ID is one path segment of printable characters.
 Route Resolve(std::string_view method, std::string_view path);
 
-// What the door may ask of the router. Every call returns at once: none waits on a machine or a job.
+// What the door may ask of the router. Every call returns at once: none waits on a machine, a job
+// or a disk.
 class Operations {
  public:
   virtual ~Operations() = default;
@@ -30,8 +32,9 @@
   // False: no cache server of that id is known.
   virtual bool Suspend(const std::string& id) = 0;
   virtual bool Resume(const std::string& id) = 0;
-  // Empty; or why what was said last is held in memory only: a restart of the process would lose it.
-  virtual std::string Unkept() const = 0;
+  // Calls `then` once what was said last is stored, with nothing, or else soon with why it is held in
+  // memory only (a restart of the process would lose it). Never from inside this call.
+  virtual void WhenKept(std::function<void(const std::string& why)> then) = 0;
   virtual void Drain() = 0;
   virtual void Activate() = 0;
 };
@@ -40,8 +43,13 @@
   int status = 200;
   std::string body;
   std::string type = "text/plain";
+  // The call changed what is to be kept: its answer goes out after WhenKept, with what that says.
+  bool kept = false;
 };
 
+// The answer's body where what was said could not be stored.
+std::string HeldOnly(const std::string& body, const std::string& why);
+
 // The answer to a call that parsed; `method` and `path` as sent.
 CallAnswer AnswerCall(std::string_view method, std::string_view path, Operations& router);
 
--- a/src/admin/operator.cpp
+++ b/src/admin/operator.cpp
@@ -1,5 +1,7 @@
 #include "admin/operator.h"
 
+#include <chrono>
+#include <thread>
 #include <utility>
 
 #include "admin/figures.h"
@@ -8,17 +10,21 @@
 namespace brasswood {
 
 Operator::Operator(Engine& engine, const Counters& counters, const Names& names, FrontHooks front,
+                   const Limits& limits, Deadlines& deadlines, std::function<Time()> now,
                    std::unique_ptr<StateFile> file, std::unique_ptr<LiveMarks> marks)
     : engine_(engine),
       counters_(counters),
       names_(names),
       front_(std::move(front)),
+      limits_(limits),
+      deadlines_(deadlines),
+      now_(std::move(now)),
       file_(std::move(file)),
-      marks_(std::move(marks)) {}
+      marks_(std::move(marks)) {
+  if (file_) disk_ = std::make_unique<DiskThread>();
+}
 
-void Operator::Count() {
-  if (!marks_) return;
-  const std::size_t alive = marks_->Beat();
+void Operator::Count(std::size_t alive) {
   if (alive == processes_) return;
   LogLine(Level::kInfo) << alive
                         << " processes of this router are alive: each takes its share of the limits";
@@ -27,70 +33,130 @@
 }
 
 void Operator::Restore() {
-  Count();
-  if (!file_) return;
-  std::string why;
-  const auto state = file_->Read(why);
-  if (!state) {
-    if (!why.empty()) LogLine(Level::kWarn) << "operator state ignored: " << why;
-    last_read_ = why;
-    return;
-  }
-  for (const std::string& uid : state->suspended) engine_.Suspend(uid, true);
-  if (!state->suspended.empty()) {
-    LogLine(Level::kInfo) << "operator state taken over: " << state->suspended.size() << " suspended";
+  if (!disk_) return;
+  AskDisk();
+  // Nothing is served yet. Guards against a start that a dead disk holds up for good.
+  const auto until = std::chrono::steady_clock::now() + limits_.state_told;
+  while (!restored_ && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    disk_->Deliver();
   }
+  if (restored_) return;
+  complained_ = true;
+  LogLine(Level::kWarn) << "operator state not read yet: the disk does not answer";
 }
 
-void Operator::Follow(Deadlines& deadlines, std::function<Time()> now, Duration every) {
-  if (!file_) return;
-  deadlines_ = &deadlines;
-  now_ = std::move(now);
-  every_ = every;
-  deadlines_->Set(now_() + every_, [this] { Look(); });
+void Operator::Follow() {
+  if (disk_) deadlines_.Set(now_() + limits_.state_look, [this] { Look(); });
+}
+
+void Operator::AskDisk() {
+  disk_->Put("look", [this, file = file_, marks = marks_]() -> DiskThread::Call {
+    Seen seen;
+    if (marks) seen.alive = marks->Beat();
+    seen.state = file->Read(seen.why);
+    return [this, seen] { Take(seen); };
+  });
 }
 
 // Guards against two processes of one router that disagree: a call to the old one while the new one
 // serves, or the other way round. What the file says wins; only changes are carried out.
-void Operator::Look() {
-  deadlines_->Set(now_() + every_, [this] { Look(); });
-  Count();
+void Operator::Take(const Seen& seen) {
+  if (marks_) Count(seen.alive);
+  const bool first = !std::exchange(restored_, true);
   // Guards against a ban lost to a full disk: while the file lacks what was said here last, its word does
   // not go before it.
-  if (!unkept_.empty()) Save();
-  if (!unkept_.empty()) return;
-  std::string why;
-  const auto state = file_->Read(why);
-  if (!state) {
-    if (!why.empty() && why != last_read_) LogLine(Level::kWarn) << "operator state ignored: " << why;
-    last_read_ = why;
+  if (said_ != kept_) return;
+  if (!seen.state) {
+    if (!seen.why.empty() && seen.why != last_read_) {
+      LogLine(Level::kWarn) << "operator state ignored: " << seen.why;
+    }
+    last_read_ = seen.why;
     return;
   }
   last_read_.clear();
   const std::set<std::string> now = engine_.suspended();
-  for (const std::string& uid : state->suspended) {
+  for (const std::string& uid : seen.state->suspended) {
     if (!now.contains(uid)) engine_.Suspend(uid, true);
   }
   for (const std::string& uid : now) {
-    if (!state->suspended.contains(uid)) engine_.Resume(uid, true);
+    if (!seen.state->suspended.contains(uid)) engine_.Resume(uid, true);
+  }
+  if (first && !seen.state->suspended.empty()) {
+    LogLine(Level::kInfo) << "operator state taken over: " << seen.state->suspended.size() << " suspended";
+  }
+}
+
+void Operator::Look() {
+  deadlines_.Set(now_() + limits_.state_look, [this] { Look(); });
+  disk_->Deliver();
+  if (said_ != kept_ && !disk_->Has("save")) Save();
+  if (!disk_->Has("look")) AskDisk();
+  if (disk_->Stuck() > limits_.state_told && !std::exchange(complained_, true)) {
+    LogLine(Level::kWarn) << "operator state held in memory only: the disk does not answer";
   }
 }
 
-// Logged once when it begins to fail and once when it works again, however often it is tried between.
 void Operator::Save() {
-  if (!file_) return;
-  std::string why;
-  if (file_->Write({engine_.suspended()}, why)) {
-    if (!unkept_.empty()) LogLine(Level::kInfo) << "operator state is stored again";
-    unkept_.clear();
-    return;
+  disk_->Put(
+      "save",
+      [this, file = file_, said = said_, state = OperatorState{engine_.suspended()}]() -> DiskThread::Call {
+        std::string why;
+        const bool ok = file->Write(state, why);
+        return [this, said, ok, why] { Kept(said, ok, why); };
+      });
+}
+
+// Logged once when it begins to fail and once when it works again, however often it is tried between.
+void Operator::Kept(std::uint64_t said, bool ok, const std::string& why) {
+  unkept_ = why;
+  if (ok) kept_ = said;
+  if (ok && said == said_ && std::exchange(complained_, false)) {
+    LogLine(Level::kInfo) << "operator state is stored again";
   }
-  if (unkept_.empty()) {
-    LogLine(Level::kWarn) << "operator state held in memory only, tried again each "
-                          << std::chrono::duration_cast<std::chrono::milliseconds>(every_).count()
-                          << " ms: " << why;
+  if (!ok && !std::exchange(complained_, true)) {
+    LogLine(Level::kWarn)
+        << "operator state held in memory only, tried again each "
+        << std::chrono::duration_cast<std::chrono::milliseconds>(limits_.state_look).count()
+        << " ms: " << why;
   }
-  unkept_ = why;
+}
+
+void Operator::Say() {
+  ++said_;
+  unkept_.clear();
+  if (disk_) {
+    Save();
+  } else {
+    kept_ = said_;
+  }
+}
+
+void Operator::WhenKept(std::function<void(const std::string& why)> then) {
+  waiters_.push_back({said_, now_() + limits_.state_told, std::move(then)});
+  if (!std::exchange(polling_, true)) Poll();
+}
+
+// While a caller waits: has the disk answered?
+void Operator::Poll() {
+  deadlines_.Set(now_() + std::chrono::milliseconds(2), [this] {
+    if (disk_) disk_->Deliver();
+    std::vector<Waiter> waiters;
+    waiters.swap(waiters_);
+    for (Waiter& w : waiters) {
+      if (!disk_ || kept_ >= w.said) {
+        w.then({});
+      } else if (!unkept_.empty()) {
+        w.then(unkept_);
+      } else if (now_() >= w.until) {
+        w.then("the disk does not answer");
+      } else {
+        waiters_.push_back(std::move(w));
+      }
+    }
+    polling_ = !waiters_.empty();
+    if (polling_) Poll();
+  });
 }
 
 bool Operator::Ready() const { return front_.ready(); }
@@ -117,13 +183,13 @@
 
 bool Operator::Suspend(const std::string& id) {
   if (!engine_.Suspend(id)) return false;
-  Save();
+  Say();
   return true;
 }
 
 bool Operator::Resume(const std::string& id) {
   if (!engine_.Resume(id)) return false;
-  Save();
+  Say();
   return true;
 }
 
--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -62,6 +62,7 @@
   Duration door_call{std::chrono::milliseconds(500)};  // a door call is whole this soon after its accept
   Duration door_linger{std::chrono::seconds(1)};       // and its caller takes the answer within this
   Duration put_back{std::chrono::milliseconds(50)};    // from the yes to a resume until its machine is used
+  Duration state_told{std::chrono::milliseconds(300)};  // a call waits so long to say whether it is stored
   Duration state_look{std::chrono::milliseconds(250)};  // how often the shared operator state is read
   std::chrono::milliseconds live_stale{1000};           // a process mark not renewed this long: it has gone
 };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -49,7 +49,7 @@
   // Operator state is kept only where there is a door to say it: older deployments have neither.
   const bool door_here = !config.admin.empty();
   Operator operations(
-      engine, counters, names, hooks,
+      engine, counters, names, hooks, limits, loop.deadlines(), [&loop] { return loop.Now(); },
       door_here ? std::make_unique<StateFile>(StateDirectory(), config.name) : nullptr,
       door_here ? std::make_unique<LiveMarks>(StateDirectory(), config.name, limits.live_stale) : nullptr);
   operations.Restore();
@@ -70,8 +70,7 @@
   std::unique_ptr<Door> door;
   if (!config.admin.empty()) {
     door = std::make_unique<Door>(loop, limits, config.admin, operations);
-    operations.Follow(
-        loop.deadlines(), [&loop] { return loop.Now(); }, limits.state_look);
+    operations.Follow();
     LogLine(Level::kInfo) << "operators' door on " << config.admin.substr(0, config.admin.rfind(':') + 1)
                           << door->port();
   }
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -90,7 +90,15 @@
   LogLine(answer.status < 300 || call.path == "/v1/metrics" || call.path == "/v1/readyz" ? Level::kDebug
                                                                                          : Level::kInfo)
       << "door: " << call.method << ' ' << call.path << ' ' << answer.status;
-  Respond(c, answer.status, answer.body, answer.type);
+  if (!answer.kept) return Respond(c, answer.status, answer.body, answer.type);
+  // The disk has the word now, and the loop does not wait for it.
+  c.answered = true;
+  loop_.deadlines().Drop(c.deadline);
+  c.deadline = {};
+  router_.WhenKept([this, id = c.id, answer](const std::string& why) {
+    auto* held = callers_.Find(id);
+    if (held != nullptr) Respond(**held, answer.status, HeldOnly(answer.body, why), answer.type);
+  });
 }
 
 void Door::Respond(Caller& c, int status, const std::string& body, const std::string& type) {
--- /dev/null
+++ b/src/state/whole_file.cpp
@@ -0,0 +1,79 @@
+#include "state/whole_file.h"
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <utility>
+
+namespace brasswood {
+namespace {
+
+class File {
+ public:
+  explicit File(int fd) : fd_(fd) {}
+  ~File() { Close(); }
+  File(const File&) = delete;
+  File& operator=(const File&) = delete;
+  int get() const { return fd_; }
+  bool Close() { return fd_ < 0 || ::close(std::exchange(fd_, -1)) == 0; }
+
+ private:
+  int fd_;
+};
+
+bool WriteAll(int fd, std::string_view content) {
+  while (!content.empty()) {
+    const ssize_t n = ::write(fd, content.data(), content.size());
+    if (n < 0 && errno == EINTR) continue;
+    if (n <= 0) return false;
+    content.remove_prefix(static_cast<std::size_t>(n));
+  }
+  return true;
+}
+
+}  // namespace
+
+bool WriteWhole(const std::string& path, std::string_view content, std::string& why) {
+  const std::string side = path + "." + std::to_string(::getpid()) + ".new";
+  const auto failed = [&](const std::string& at) {
+    why = at + ": " + std::strerror(errno);
+    ::unlink(side.c_str());
+    return false;
+  };
+  File file(::open(side.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644));
+  if (file.get() < 0) return failed(side);
+  // A full disk may say so at any of these, the close among them.
+  if (!WriteAll(file.get(), content) || ::fsync(file.get()) != 0 || !file.Close()) return failed(side);
+  if (::rename(side.c_str(), path.c_str()) != 0) return failed(path);
+  return true;
+}
+
+std::optional<std::string> ReadWhole(const std::string& path, std::size_t most, std::string& why) {
+  why.clear();
+  File file(::open(path.c_str(), O_RDONLY | O_CLOEXEC));
+  if (file.get() < 0) {
+    if (errno != ENOENT) why = path + ": " + std::strerror(errno);
+    return std::nullopt;
+  }
+  std::string text;
+  char buffer[65536];
+  for (;;) {
+    const ssize_t n = ::read(file.get(), buffer, sizeof buffer);
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0) {
+      why = path + ": " + std::strerror(errno);
+      return std::nullopt;
+    }
+    if (n == 0) return text;
+    text.append(buffer, static_cast<std::size_t>(n));
+    if (text.size() <= most) continue;
+    why = path + ": too large";
+    return std::nullopt;
+  }
+}
+
+}  // namespace brasswood
--- a/tests/net/door_test.cpp
+++ b/tests/net/door_test.cpp
@@ -1,8 +1,11 @@
 // The operators' door: its parser and calls without sockets, then the program's door on loopback.
 #include "protocol/door.h"
 
+#include <sys/stat.h>
+
 #include <catch2/catch.hpp>
 #include <filesystem>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -12,6 +15,8 @@
 #include "admin/live_marks.h"
 #include "admin/operator_state.h"
 #include "config/limits.h"
+#include "state/disk_thread.h"
+#include "state/whole_file.h"
 #include "world.h"
 
 using namespace brasswood;
@@ -303,6 +308,85 @@
   CHECK(Post(r.process.door, "/v1/cache-servers/s1/resume").find("not stored") == std::string::npos);
 }
 
+// The file's place is taken by a pipe that nobody writes: whoever opens it to read waits, as on a dead
+// disk.
+TEST_CASE("a disk that stalls holds up no call, no job and no exit, and takes the ban once it is back") {
+  DoorRouter r;
+  REQUIRE(Status(Post(r.process.door, "/v1/cache-servers/s0/suspend")) == 200);
+  const std::string file = r.dir + "/brasswood-n1.operator";
+  REQUIRE(::unlink(file.c_str()) == 0);
+  REQUIRE(::mkfifo(file.c_str(), 0600) == 0);
+  // The next look is stuck.
+  while (r.process.err.Until("\n").find("the disk does not answer") == std::string::npos) {
+  }
+  const std::string answer = Post(r.process.door, "/v1/cache-servers/s0/resume");
+  CHECK(Status(answer) == 200);
+  CHECK(answer.find("not stored: the disk does not answer") != std::string::npos);
+  CHECK(Status(Post(r.process.door, "/v1/cache-servers/s0/suspend")) == 200);
+  CHECK(Get(r.process.door, "/v1/metrics").find("router.skipped_cache_servers:1|g\n") != std::string::npos);
+  Fd submitter = r.Connect(r.process);
+  submitter.Write(Read("k", "a1"));
+  Fd claim = r.nodes[FirstCalled({&r.nodes[0], &r.nodes[1]})].Accept();
+  CHECK(claim.Line().starts_with("mg k v Oa1"));
+  claim.Write("VA 1 Oa1\r\nx\r\n");
+  CHECK(submitter.Line() == "VA 1 Oa1\r\n");
+  SECTION("an exit does not wait for it") {
+    REQUIRE(::kill(r.process.pid, SIGTERM) == 0);
+    CHECK(r.process.Wait() == 0);
+  }
+  SECTION("and what was said last is stored when it answers again") {
+    Fd back(::open(file.c_str(), O_WRONLY | O_CLOEXEC));
+    back.Close();
+    while (r.process.err.Until("\n").find("operator state is stored again") == std::string::npos) {
+    }
+    Process second = r.StartBeside();
+    CHECK(Get(second.door, "/v1/metrics").find("router.skipped_cache_servers:1|g\n") != std::string::npos);
+  }
+}
+
+TEST_CASE("work on the disk's thread: the last of a name waits, and its word comes when it is asked for") {
+  DiskThread disk;
+  std::mutex gate;
+  std::vector<int> done, told;
+  gate.lock();
+  disk.Put("a", [&]() -> DiskThread::Call {
+    const std::lock_guard wait(gate);
+    return [&] { told.push_back(0); };
+  });
+  while (disk.Stuck().count() == 0) std::this_thread::yield();
+  for (int i = 1; i <= 1000; ++i) {
+    disk.Put("b", [&, i]() -> DiskThread::Call {
+      done.push_back(i);
+      return [&, i] { told.push_back(i); };
+    });
+  }
+  CHECK(disk.Has("a"));
+  CHECK(disk.Has("b"));
+  disk.Deliver();
+  CHECK(told.empty());
+  gate.unlock();
+  while (disk.Has("b")) std::this_thread::yield();
+  disk.Deliver();
+  CHECK(done == std::vector<int>{1000});
+  CHECK(told == std::vector<int>{0, 1000});
+}
+
+TEST_CASE("files are whole or as they were") {
+  DoorRouter r;  // for its folder
+  const std::string path = r.dir + "/kept";
+  std::string why;
+  CHECK_FALSE(ReadWhole(path, 10, why));
+  CHECK(why.empty());
+  REQUIRE(WriteWhole(path, "one", why));
+  CHECK(ReadWhole(path, 10, why) == "one");
+  CHECK_FALSE(ReadWhole(path, 2, why));
+  CHECK(why.find("too large") != std::string::npos);
+  std::filesystem::create_directories(path + "." + std::to_string(::getpid()) + ".new/in-the-way");
+  CHECK_FALSE(WriteWhole(path, "two", why));
+  CHECK_FALSE(why.empty());
+  CHECK(ReadWhole(path, 10, why) == "one");
+}
+
 TEST_CASE("a torn state file is ignored with one line, and the router starts") {
   char path[] = "/tmp/brasswood-door-XXXXXX";
   REQUIRE(::mkdtemp(path) != nullptr);
