Keep learnt state over a restart where there is a disk, and begin fetches at the fleet's share

Need: nothing was kept over a restart but bans, and each of 300 routers began with 16 fetches of its own, 4,800 at an origin that none had met yet.

Bans bind at once; the list where it is newer than what the platform gave; what was learnt once discovery has confirmed the list, for machines of the same start, by its age (Balancer::Recall). src/recovery/startup: an old remembered list is tried one attempt a server until discovery or an answer confirms it. OriginPace::Start: 256 fetches between all balancers, 1 to 16 each.

--- a/include/beechledge/balancer.h
+++ b/include/beechledge/balancer.h
@@ -119,6 +119,7 @@
 struct ServerList {
   ListKind kind = ListKind::kAll;
   std::vector<ServerEntry> entries;
+  bool old = false;  // of a remembered one: machines in it may have been replaced since
 };
 
 struct NewRequest {
@@ -238,6 +239,8 @@
 
 // ---- The module ----
 
+struct Kept;
+
 class Balancer {
  public:
   Balancer(const Settings& settings, std::uint64_t seed);
@@ -248,6 +251,12 @@
   // Takes one event that happened at `now` and appends what is to be done about it to `out`.
   void Handle(Time now, const Event& event, Actions& out);
 
+  // What it has learnt of the servers that are up now, at most so many keys; and the same taken up again,
+  // of a list that names them: evidence counts for `faith` of what it did (0 to 1), and only beside what is
+  // known.
+  Kept Keep(Time now, std::size_t most_keys) const;
+  void Recall(Time now, const Kept& kept, double faith);
+
   // For figures, and it decides nothing: the servers listed as up, other than the origin's kind, that the
   // module avoids now by its own choice (ejected after failures, or in a hall that has fallen silent).
   std::size_t Avoided() const;
--- a/src/choice/balancer.cpp
+++ b/src/choice/balancer.cpp
@@ -11,6 +11,7 @@
   // Guards against a fleet that started together and asks again together: refusals spread as first calls
   // do.
   backoff_ = std::max<Duration>(seconds(1), Spread());
+  origin_pace_.Start(set_.balancers);
   for (const RequestClass& c : set_.classes) longest_aim_ = std::max(longest_aim_, c.aim);
 }
 
@@ -22,6 +23,45 @@
   out_ = nullptr;
 }
 
+Kept Balancer::Core::Keep(Time now, std::size_t most_keys) const {
+  Kept kept;
+  for (ServerId id : up_) {
+    if (IsOrigin(servers_[id])) continue;
+    kept.servers.push_back(paces_.Keep(id, now));
+    if (servers_[id].ejected)
+      kept.servers.back().avoid = std::max(Duration(0), servers_[id].ejected_until - now);
+  }
+  keys_.Each(most_keys, [&](const KeyTable::Entry& entry) {
+    Kept::Key key{entry.key, {}};
+    for (const Holder& h : entry.holders) {
+      if (servers_[h.server].listed && servers_[h.server].life == h.life) key.holders.push_back(h.server);
+    }
+    if (!key.holders.empty()) kept.keys.push_back(std::move(key));
+  });
+  kept.origin = origin_pace_.Keep();
+  return kept;
+}
+// Holders are mapped and not confirmed: what a key's place is, not that it is still there.
+void Balancer::Core::Recall(Time now, const Kept& kept, double faith) {
+  now_ = std::max(now_, now);
+  faith = std::clamp(faith, 0.0, 1.0);
+  origin_pace_.Recall(kept.origin, faith);
+  for (const Kept::Server& s : kept.servers) {
+    if (s.id >= servers_.size() || !servers_[s.id].listed) continue;
+    paces_.Recall(s, now_, faith);
+    if (s.avoid <= Duration(0)) continue;
+    servers_[s.id].ejected = true;  // half-open after that: one careful try
+    servers_[s.id].ejected_until = now_ + std::min(s.avoid, kEjectMost);
+  }
+  for (auto key = kept.keys.rbegin(); key != kept.keys.rend(); ++key) {
+    KeyTable::Entry& entry = keys_.Touch(key->key, now_);
+    if (!entry.holders.empty()) continue;
+    for (ServerId id : key->holders) {
+      if (id < servers_.size() && servers_[id].listed) entry.holders.push_back({id, servers_[id].life});
+    }
+  }
+}
+
 bool Balancer::Core::Avoids(ServerId id) const {
   if (id >= servers_.size() || servers_[id].availability != Availability::kUp) return false;
   return servers_[id].kind != set_.origin_kind && !Healthy(servers_[id]);
@@ -38,6 +78,8 @@
 Balancer& Balancer::operator=(Balancer&&) noexcept = default;
 void Balancer::Handle(Time now, const Event& event, Actions& out) { core_->Handle(now, event, out); }
 std::size_t Balancer::Avoided() const { return core_->Avoided(); }
+Kept Balancer::Keep(Time now, std::size_t most_keys) const { return core_->Keep(now, most_keys); }
+void Balancer::Recall(Time now, const Kept& kept, double faith) { core_->Recall(now, kept, faith); }
 bool Balancer::Avoids(ServerId id) const { return core_->Avoids(id); }
 
 }  // namespace beechledge
--- a/src/choice/choose.cpp
+++ b/src/choice/choose.cpp
@@ -86,6 +86,7 @@
     parts += s.part;
     ++ready;
     if (!(spare_ejected || Healthy(s)) || !Allowed(r, id) || !ColdRoom(s) || (r.shed && !Cold(s))) continue;
+    if (!startup_.MayTry(s.inflight, s.answered >= Time(0))) continue;
     loads_[id] = raw;
     orders_[id] = Order(r.key, s);
   }
--- a/src/choice/core.h
+++ b/src/choice/core.h
@@ -4,16 +4,18 @@
 #ifndef BEECHLEDGE_CHOICE_CORE_H_
 #define BEECHLEDGE_CHOICE_CORE_H_
 
-#include <array>
 #include <cmath>
 #include <random>
 #include <unordered_map>
 #include <utility>
 
 #include "base/stable_hash.h"
+#include "beechledge/kept.h"
 #include "choice/records.h"
 #include "choice/tuning.h"
+#include "recovery/startup.h"
 #include "sight/admission.h"
+#include "sight/halls.h"
 #include "sight/home_share.h"
 #include "sight/key_table.h"
 #include "sight/origin_pace.h"
@@ -28,6 +30,8 @@
  public:
   Core(const Settings& settings, std::uint64_t seed);
   void Handle(Time now, const Event& event, Actions& out);
+  Kept Keep(Time now, std::size_t most_keys) const;
+  void Recall(Time now, const Kept& kept, double faith);
   bool Avoids(ServerId id) const;
   std::size_t Avoided() const;
 
@@ -63,10 +67,7 @@
   Time LastUse(const Request& r) const;
 
   // ---- Halls: a whole one that falls silent is told from a server in trouble ----
-  static std::size_t HallOf(const Server& s) {
-    return static_cast<std::size_t>(std::clamp(s.zone, 0, kHalls - 1));
-  }
-  bool HallLost(const Server& s) const { return !IsOrigin(s) && halls_[HallOf(s)].silent >= kHallLost; }
+  bool HallLost(const Server& s) const { return !IsOrigin(s) && halls_.Lost(s.zone); }
   void HearHall(Server& s, bool answered);
   bool Healthy(const Server& s) const;
 
@@ -142,7 +143,7 @@
   std::vector<Server> servers_;         // by ServerId
   std::vector<ServerId> up_;            // those listed as up
   std::vector<double> loads_, orders_;  // scratch of Choose; an order counts where a load is set
-  std::array<Hall, kHalls> halls_;      // by zone
+  Halls halls_;
   Duration longest_aim_{0};
   double mean_worth_ = 0;  // of the reads asked lately; 0: none yet
   int warm_ = 1;
@@ -153,7 +154,6 @@
   KeyTable keys_;
   std::unordered_map<RequestId, Request> requests_;
   std::vector<RequestId> held_;
-  bool held_timer_ = false, watching_ = false;
   std::unordered_map<std::uint64_t, std::pair<TimerKind, RequestId>> timers_;
   std::uint64_t last_token_ = 0;
   Times times_;
@@ -161,11 +161,11 @@
   double retry_tokens_ = kRetryBurst;
   HomeShare home_share_;
   double again_helps_ = 0.9;  // share of overdue attempts whose next one was answered in time
-  Smoothed borne_{0, Time(0)};
   Admission admission_;
-  Smoothed served_;  // answers, decaying: its value over kRateTau is the rate
+  Smoothed borne_, served_;  // answers, decaying: over kRateTau the rate
   OriginPace origin_pace_;
-  bool attached_ = false, asked_ = false;
+  Startup startup_;
+  bool attached_ = false, asked_ = false, held_timer_ = false, watching_ = false;
   Duration backoff_{0};
 };
 
--- a/src/choice/gate.cpp
+++ b/src/choice/gate.cpp
@@ -34,7 +34,7 @@
   if (!Allowed(r, id) || !ColdRoom(s)) return false;
   if (Cold(s)) s.cold_tokens -= 1;
   if (s.ejected) ++s.trials;
-  if (HallLost(s)) halls_[HallOf(s)].try_at = now_ + kHallTrial;
+  if (HallLost(s)) halls_.Tried(s.zone, now_);
   CountInflight(s, +1);
   s.sends.Add(now_, kRateTau, 1);
   r.attempts.push_back({id, now_, fetch});
--- a/src/choice/health.cpp
+++ b/src/choice/health.cpp
@@ -53,26 +53,18 @@
   ++s.ejections;
 }
 
-// Guards against learning server by server, at each balancer, what the first few have told: that nothing
-// answers in the hall. Any answer from there, or a server that starts there, ends it.
+// A lost hall is told from a server in trouble.
 void Balancer::Core::HearHall(Server& s, bool answered) {
   if (IsOrigin(s)) return;
-  Hall& hall = halls_[HallOf(s)];
-  if (answered) {
-    if (hall.silent > 0) ++hall.spell;
-    hall.silent = 0;
-  } else if (s.silent_in != hall.spell) {
-    s.silent_in = hall.spell;
-    if (++hall.silent != kHallLost) return;
-    hall.try_at = now_ + kHallTrial;
-    for (ServerId id : up_) {  // what is open there leads nowhere
-      if (servers_[id].zone == s.zone && !IsOrigin(servers_[id])) out_->push_back(CloseIdle{id});
-    }
+  if (answered) return halls_.Heard(s.zone);
+  if (!halls_.Failed(s.zone, now_, s.silent_in)) return;
+  for (ServerId id : up_) {  // what is open there leads nowhere
+    if (servers_[id].zone == s.zone && !IsOrigin(servers_[id])) out_->push_back(CloseIdle{id});
   }
 }
 
 bool Balancer::Core::Healthy(const Server& s) const {
-  if (HallLost(s)) return now_ >= halls_[HallOf(s)].try_at;
+  if (HallLost(s)) return halls_.MayTry(s.zone, now_);
   return !s.ejected || (now_ >= s.ejected_until && s.trials == 0);
 }
 
--- a/src/choice/list.cpp
+++ b/src/choice/list.cpp
@@ -6,6 +6,7 @@
 void Balancer::Core::On(const ServerList& e) {
   const bool first = !attached_;
   attached_ = true;
+  startup_.Listed(e.kind, e.old);
   if (e.kind == ListKind::kRefused) {
     asked_ = false;
     AskLater(backoff_);
--- a/src/choice/records.h
+++ b/src/choice/records.h
@@ -41,13 +41,6 @@
   Time crowded_until{0};        // it refused a connection: idle ones are given back
 };
 
-struct Hall {
-  int silent = 0;           // servers that have failed since its last answer
-  std::uint32_t spell = 1;  // counts its answers after silence
-  Time try_at{0};           // of a lost one: when the next request may try it
-};
-inline constexpr int kHalls = 16;
-
 struct Attempt {
   ServerId server;
   Time sent;
--- a/src/choice/tuning.h
+++ b/src/choice/tuning.h
@@ -37,9 +37,6 @@
 inline constexpr double kLooks =
     1;  // an ejection outlasts so many looks at the server, four times that at most
 inline constexpr std::uint64_t kHomeSalt = 0x5851f42d4c957f2dULL;
-inline constexpr int kHallLost =
-    4;  // servers of one hall that failed in a row, with no answer from it between them
-inline constexpr Duration kHallTrial = seconds(1);  // how often a lost hall is tried
 // No server is silent and no attempt overdue before this share of an aim, and no server later than the time
 // beside it for want of evidence: longer than a pause of a sound server, short enough for another attempt.
 inline constexpr double kPatienceShare = 0.25;
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -28,6 +28,23 @@
   return "failed";
 }
 
+// Servers by other numbers; what none stands for goes.
+void Renumber(beechledge::Kept& kept, const std::unordered_map<MachineId, MachineId>& to) {
+  std::erase_if(kept.servers, [&](beechledge::Kept::Server& s) {
+    const auto it = to.find(s.id);
+    if (it != to.end()) s.id = it->second;
+    return it == to.end();
+  });
+  std::erase_if(kept.keys, [&](beechledge::Kept::Key& key) {
+    std::vector<MachineId> holders;
+    for (const MachineId id : key.holders) {
+      if (const auto it = to.find(id); it != to.end()) holders.push_back(it->second);
+    }
+    key.holders = std::move(holders);
+    return key.holders.empty();
+  });
+}
+
 }  // namespace
 
 Engine::Engine(const beechledge::Settings& settings, std::uint64_t seed, const Limits& limits,
@@ -346,8 +363,9 @@
   return m->availability == Availability::kUp || now_() - m->since < settings_.rules.drain_grace / 2;
 }
 
-void Engine::Remember(const MachineList& known) {
-  Take(known, ListKind::kRemembered);
+void Engine::Remember(const MachineList& known, bool old) {
+  rev_ = known.rev;
+  Take(known, ListKind::kRemembered, old);
   ready_ = true;
   if (Logs(Level::kDebug)) LogBeliefs();
 }
@@ -363,17 +381,21 @@
 }
 void Engine::Told(const MachineList& list) {
   ++counters_.lists;
+  rev_ = list.rev;
   Take(list, list.all ? ListKind::kAll : ListKind::kChanges);
+  confirmed_ = true;
+  TakeUp();
 }
 void Engine::ListRefused() {
   ++counters_.lists_refused;
-  Push(beechledge::ServerList{ListKind::kRefused, {}});
+  Push(beechledge::ServerList{ListKind::kRefused, {}, false});
 }
 
-void Engine::Take(const MachineList& list, ListKind kind) {
+void Engine::Take(const MachineList& list, ListKind kind, bool old) {
   const Time now = now_();
   beechledge::ServerList told;
   told.kind = kind;
+  told.old = old;
   std::vector<bool> named(machines_.size());
   for (const MachineEntry& listed : list.entries) {
     const bool reuse = !unused_.empty();
@@ -430,6 +452,49 @@
   Retire();
 }
 
+// ---- Over a restart ----
+
+Snapshot Engine::Keep(std::size_t most_keys) const {
+  Snapshot s;
+  s.list.rev = rev_;
+  s.suspended = suspended_;
+  std::unordered_map<MachineId, MachineId> places;
+  for (MachineId id = 0; id < machines_.size(); ++id) {
+    if (machines_[id].uid.empty() || machines_[id].availability == Availability::kRemoved) continue;
+    places[id] = static_cast<MachineId>(s.list.entries.size());
+    s.list.entries.push_back(told_[id]);
+  }
+  s.learnt = balancer_.Keep(now_(), most_keys);
+  Renumber(s.learnt, places);
+  return s;
+}
+
+void Engine::Recall(Snapshot kept, double faith) {
+  kept_ = std::move(kept);
+  faith_ = faith;
+  if (confirmed_) TakeUp();
+}
+
+void Engine::TakeUp() {
+  if (!kept_) return;
+  std::unordered_map<MachineId, MachineId> ids;  // by place
+  const auto& entries = kept_->list.entries;
+  for (MachineId place = 0; place < entries.size(); ++place) {
+    const auto it = by_uid_.find(entries[place].uid);
+    if (it == by_uid_.end()) continue;
+    const Machine& m = machines_[it->second];
+    // Another start has other contents, and another size perhaps.
+    if (m.availability != Availability::kUp || told_[it->second].started != entries[place].started)
+      continue;
+    ids[place] = it->second;
+  }
+  Renumber(kept_->learnt, ids);
+  balancer_.Recall(now_(), kept_->learnt, faith_);
+  LogLine(Level::kInfo) << "kept state taken up for " << ids.size() << " of " << entries.size()
+                        << " machines";
+  kept_.reset();
+}
+
 // ---- What operators say ----
 
 MachineEntry Engine::Effective(const MachineEntry& told) const {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -20,6 +21,7 @@
 #include "core/ends.h"
 #include "core/machine_list.h"
 #include "core/slots.h"
+#include "state/snapshot.h"
 
 namespace brasswood {
 
@@ -54,7 +56,8 @@
   bool MayWrite(MachineId id) const;
 
   // From discovery.
-  void Remember(const MachineList& known);
+  // `old`: it was held so long ago that machines in it may have been replaced.
+  void Remember(const MachineList& known, bool old = false);
   void Told(const MachineList& list);
   void ListRefused();
 
@@ -74,7 +77,15 @@
   };
   Census Count() const;
 
+  // What is worth keeping over a restart, but for whose it is and when.
+  Snapshot Keep(std::size_t most_keys) const;
+  // What an earlier process had learnt, taken up as soon as discovery has confirmed the list, as far as it
+  // names the same machines with the same starts. `faith`: how far it is believed, by its age.
+  void Recall(Snapshot kept, double faith);
+
   bool ready() const { return ready_; }
+  // Has discovery told this process its list?
+  bool confirmed() const { return confirmed_; }
   std::size_t open_jobs() const { return open_jobs_; }
 
  private:
@@ -120,13 +131,14 @@
   void Release(JobId id);
   void Retire();
   Back& BackOf(MachineId id) { return *(machines_[id].origin ? origin_ : nodes_); }
-  void Take(const MachineList& list, beechledge::ListKind kind);
+  void Take(const MachineList& list, beechledge::ListKind kind, bool old = false);
   // The entry as the module is told it: discovery's, with what operators said laid over it.
   MachineEntry Effective(const MachineEntry& told) const;
   void Retell(const std::string& uid);
   void PutBack(const std::string& uid);
   void CountClass(int job_class, AnswerKind kind);
   void LogBeliefs();
+  void TakeUp();
 
   beechledge::Settings settings_;
   beechledge::Balancer balancer_;
@@ -154,7 +166,10 @@
   };
   std::deque<Queued> queue_;
   bool pumping_ = false;
-  bool ready_ = false;
+  bool ready_ = false, confirmed_ = false;
+  std::int64_t rev_ = -1;         // of the list last told
+  std::optional<Snapshot> kept_;  // not taken up yet
+  double faith_ = 0;
   std::size_t open_jobs_ = 0;  // without their answer
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,6 +3,8 @@
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <memory>
+#include <optional>
 
 #include "admin/operator.h"
 #include "admin/state_file.h"
@@ -16,6 +18,7 @@
 #include "net/door.h"
 #include "net/loop.h"
 #include "net/submitter_front.h"
+#include "state/keeper.h"
 
 namespace {
 
@@ -52,8 +55,28 @@
       engine, counters, names, hooks, limits, loop.deadlines(), [&loop] { return loop.Now(); },
       door_here ? std::make_unique<StateFile>(StateDirectory(), config.name) : nullptr,
       door_here ? std::make_unique<LiveMarks>(StateDirectory(), config.name, limits.live_stale) : nullptr);
+  // What an earlier process left, where the installation has a disk for it: bans before any list.
+  std::unique_ptr<Keeper> keeper;
+  std::optional<Snapshot> kept;
+  if (const auto settings = LoadStateSettings()) {
+    keeper = std::make_unique<Keeper>(*settings, config.name, engine, loop.deadlines(),
+                                      [&loop] { return loop.Now(); });
+    kept = keeper->Read();
+  }
+  if (kept) {
+    for (const std::string& uid : kept->suspended) engine.Suspend(uid, true);
+  }
   operations.Restore();
-  engine.Remember(config.known);
+  if (kept && !kept->list.entries.empty() && kept->list.rev > config.known.rev) {
+    engine.Remember(kept->list, loop.Now() - kept->taken > keeper->settings().old);
+  } else {
+    engine.Remember(config.known);
+  }
+  if (kept) {
+    const double faith = Faith(loop.Now() - kept->taken, keeper->settings().half, keeper->settings().most);
+    if (faith > 0) engine.Recall(std::move(*kept), faith);
+  }
+  if (keeper) keeper->Begin();
   // Guards against a restart for a new configuration: open jobs and the listener stay as they are. What a
   // router cannot change while it serves (its address, limits, settings) waits for its next start.
   loop.OnSignal(SIGHUP, [&watch] {
@@ -80,6 +103,7 @@
   });
   const auto stop = [&] {
     LogLine(Level::kInfo) << config.name << " stops; open jobs: " << engine.open_jobs();
+    if (keeper) keeper->Take();
     front.Drain([&loop] { loop.Stop(); });
   };
   loop.OnSignal(SIGTERM, stop);
--- a/src/sight/key_table.h
+++ b/src/sight/key_table.h
@@ -46,6 +46,12 @@
     return order_.front();
   }
 
+  // The most recently used first, at most so many.
+  template <class F>
+  void Each(std::size_t most, F f) const {
+    for (auto it = order_.begin(); it != order_.end() && most > 0; ++it, --most) f(*it);
+  }
+
  private:
   std::list<Entry> order_;
   std::unordered_map<std::uint64_t, std::list<Entry>::iterator> index_;
--- a/src/sight/origin_pace.h
+++ b/src/sight/origin_pace.h
@@ -6,12 +6,19 @@
 
 #include <algorithm>
 
+#include "beechledge/kept.h"
 #include "sight/smoothed.h"
 
 namespace beechledge {
 
 class OriginPace {
  public:
+  // `balancers` that share the origin begin with kFleetStart fetches out between them, each with one at
+  // least and kStart at most. Guards against a fleet that begins together and fells an origin that none has
+  // met yet.
+  void Start(int balancers) { limit_ = std::clamp(kFleetStart / std::max(1, balancers), 1.0, kStart); }
+  static constexpr double kStart = 16, kFleetStart = 256;
+
   // Another fetch goes out; one has ended, however it did.
   void Begin() { ++out_; }
   void End() { --out_; }
@@ -43,13 +50,25 @@
     }
   }
 
+  // What is learnt, to be kept over a restart.
+  Kept::Origin Keep() const { return {limit_, base_, time_}; }
+  // Fetches begin where they stood, or nearer the start the less is believed of it. Numbers that cannot
+  // have been kept here change nothing.
+  void Recall(const Kept::Origin& kept, double faith) {
+    if (!(kept.limit >= 1 && kept.limit < 1e6 && kept.base > 0 && kept.base < 60 && kept.usual > 0 &&
+          kept.usual < 60))
+      return;
+    limit_ = std::max(1.0, limit_ + faith * (kept.limit - limit_));
+    base_ += faith * (kept.base - base_);
+    time_ += faith * (kept.usual - time_);
+  }
+
  private:
-  static constexpr double kStart = 16;  // fetches that may be out before the origin's pace is learnt
   static constexpr double kBad = 0.25;  // share of fetches failed or late from which on the limit falls
   static constexpr double kSlow = 3;    // a fetch this many times longer than unhurried ones counts as late
   static constexpr double kCut = 0.8;   // how far the limit falls at a time
   int out_ = 0;
-  double limit_ = kStart;
+  double limit_ = 16;
   double bad_ = 0;
   double base_ = 0.1;  // seconds of an unhurried fetch: follows quick ones faster than slow ones
   double time_ = 0.1;
--- a/src/sight/paces.cpp
+++ b/src/sight/paces.cpp
@@ -18,6 +18,7 @@
 // they can do, are in the ratio of two in their answers' times: a power of one would leave the small ones
 // full.
 constexpr double kGain = 4;
+constexpr double kMostKept = 1000;  // looks that are taken up again at most
 constexpr double kMostSize = 64;  // a stated size counts for at most so many times the mean, or its inverse
 
 }  // namespace
@@ -124,6 +125,32 @@
   return servers_[id].pace.Mean(now, group, kLean) - fleet;
 }
 
+Kept::Server Paces::Keep(ServerId id, Time now) const {
+  Kept::Server kept;
+  kept.id = id;
+  if (id >= servers_.size() || !servers_[id].placed) return kept;
+  const Server& s = servers_[id];
+  kept.looks = s.pace.looks.Read(now, kTau);
+  kept.log_time = kept.looks > 0 ? s.pace.sum.Read(now, kTau) / kept.looks : 0;
+  kept.log_weight = s.log_weight;
+  return kept;
+}
+
+void Paces::Recall(const Kept::Server& kept, Time now, double faith) {
+  const bool sound =
+      std::isfinite(kept.looks) && std::isfinite(kept.log_time) && std::isfinite(kept.log_weight);
+  if (kept.id >= servers_.size() || !servers_[kept.id].placed || !sound) return;
+  Server& s = servers_[kept.id];
+  const double looks = faith * std::clamp(kept.looks, 0.0, kMostKept);
+  const double log_time = std::clamp(kept.log_time, std::log(1e-4), std::log(60.0));
+  for (Pace* pace : {&s.pace, &all_[s.group].pace, &fleet_}) {
+    pace->looks.Add(now, kTau, looks);
+    pace->sum.Add(now, kTau, looks * log_time);
+  }
+  s.log_weight += faith * (std::clamp(kept.log_weight, std::log(kLeast), std::log(kMost)) - s.log_weight);
+  s.weight = std::exp(s.log_weight);
+}
+
 double Paces::Wanted(ServerId id, Time now) const {
   const Server& s = servers_[id];
   return std::clamp(Stated(s) - kGain * Slower(id, now), std::log(kLeast), std::log(kMost));
--- a/src/sight/paces.h
+++ b/src/sight/paces.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "beechledge/balancer.h"
+#include "beechledge/kept.h"
 #include "sight/smoothed.h"
 
 namespace beechledge {
@@ -49,6 +50,11 @@
   // How many recent answers of its own it rests on (old ones fade).
   double Looks(ServerId id, Time now) const;
 
+  // What is learnt of one server, to be kept over a restart; and taken up again, beside what is known: its
+  // looks count for `faith` of what they did.
+  Kept::Server Keep(ServerId id, Time now) const;
+  void Recall(const Kept::Server& kept, Time now, double faith);
+
   // Each server's weight, 1 on average over those placed, between kLeast and kMost of it; it moves by small
   // steps, one each kStep of time, and only for a difference that is worth moving keys for.
   double Weight(ServerId id) const { return id < servers_.size() ? servers_[id].weight : 1; }
--- /dev/null
+++ b/src/state/keeper.cpp
@@ -0,0 +1,164 @@
+#include "state/keeper.h"
+
+#include <rapidjson/document.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+#include "base/log.h"
+#include "config/json.h"
+#include "state/whole_file.h"
+
+namespace brasswood {
+namespace {
+
+constexpr std::chrono::milliseconds kReadWithin{500};
+
+struct Found {
+  std::optional<Snapshot> snapshot;
+  std::string why;  // what was wrong with those that were left aside
+};
+
+Found Find(const std::string& path, const std::string& router) {
+  Found found;
+  for (const std::string& name : {path, path + ".1"}) {
+    std::string why;
+    const auto text = ReadWhole(name, kMostSnapshot, why);
+    if (text) found.snapshot = DecodeSnapshot(*text, why);
+    if (found.snapshot && found.snapshot->router != router) {
+      found.snapshot.reset();
+      why = "of another router";
+    }
+    if (found.snapshot) return found;
+    if (!why.empty()) found.why += (found.why.empty() ? "" : "; ") + name + ": " + why;
+  }
+  return found;
+}
+
+}  // namespace
+
+StateSettings ReadStateSettings(std::string_view json) {
+  const auto bad = [](const std::string& what) { return std::runtime_error("state settings: " + what); };
+  rapidjson::Document d;
+  d.Parse(json.data(), json.size());
+  if (d.HasParseError() || !d.IsObject()) throw bad("not a JSON object");
+  const auto* state = FindField(d, "state");
+  if (state == nullptr || !state->IsObject()) throw bad("\"state\" is missing or not an object");
+  StateSettings s;
+  const auto number = [&](const rapidjson::Value& v, const std::string& key, double least, double most) {
+    if (!v.IsNumber() || !(v.GetDouble() >= least) || !(v.GetDouble() <= most)) {
+      throw bad("\"" + key + "\" is not a number from " + std::to_string(static_cast<long long>(least)) +
+                " to " + std::to_string(static_cast<long long>(most)));
+    }
+    return v.GetDouble();
+  };
+  const auto span = [](double ms) { return Duration(static_cast<std::int64_t>(ms * 1e6)); };
+  for (const auto& m : state->GetObject()) {
+    const std::string key = m.name.GetString();
+    if (key == "folder" && m.value.IsString()) {
+      s.folder = m.value.GetString();
+    } else if (key == "every_ms") {
+      s.every = span(number(m.value, key, 100, 3600000));
+    } else if (key == "keys") {
+      s.keys = static_cast<std::size_t>(number(m.value, key, 0, 65536));
+    } else if (key == "half_ms") {
+      s.half = span(number(m.value, key, 1, 86400000));
+    } else if (key == "most_ms") {
+      s.most = span(number(m.value, key, 1, 7 * 86400000.0));
+    } else if (key == "old_ms") {
+      s.old = span(number(m.value, key, 0, 86400000));
+    } else {
+      throw bad("\"" + key + "\" is not known, or not of its type");
+    }
+  }
+  if (s.folder.empty()) throw bad("\"folder\" is missing");
+  return s;
+}
+
+std::optional<StateSettings> LoadStateSettings() {
+  const char* path = std::getenv("BRASSWOOD_STATE");
+  if (path == nullptr || *path == '\0') return std::nullopt;
+  std::ifstream in(path);
+  if (!in) throw std::runtime_error(std::string("state settings: cannot read ") + path);
+  return ReadStateSettings(std::string(std::istreambuf_iterator<char>(in), {}));
+}
+
+Keeper::Keeper(StateSettings settings, std::string router, Engine& engine, Deadlines& deadlines,
+               std::function<Time()> now)
+    : settings_(std::move(settings)),
+      router_(std::move(router)),
+      engine_(engine),
+      deadlines_(deadlines),
+      now_(std::move(now)) {}
+
+std::optional<Snapshot> Keeper::Read() {
+  auto found = std::make_shared<std::optional<Found>>();
+  disk_.Put("read", [found, path = Path(), router = router_]() -> DiskThread::Call {
+    auto here = std::make_shared<Found>(Find(path, router));
+    return [found, here] { *found = std::move(*here); };
+  });
+  const auto until = std::chrono::steady_clock::now() + kReadWithin;
+  while (!*found && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    disk_.Deliver();
+  }
+  if (!*found) {
+    LogLine(Level::kWarn) << "kept state not read: the disk does not answer";
+    return std::nullopt;
+  }
+  Found& f = **found;
+  if (!f.why.empty()) LogLine(Level::kWarn) << "kept state left aside: " << f.why;
+  if (!f.snapshot) return std::nullopt;
+  const Duration age = now_() - f.snapshot->taken;
+  if (Faith(age, settings_.half, settings_.most) <= 0) {
+    LogLine(Level::kWarn) << "kept state left aside: "
+                          << (age < Duration(0) ? "taken in the future" : "too old");
+    // Bans have no age: only an operator's word ends one.
+    f.snapshot->list = {};
+    f.snapshot->learnt = {};
+  }
+  LogLine(Level::kInfo) << "kept state of "
+                        << std::chrono::duration_cast<std::chrono::milliseconds>(age).count()
+                        << " ms ago: " << f.snapshot->list.entries.size() << " machines, "
+                        << f.snapshot->learnt.keys.size() << " keys, " << f.snapshot->suspended.size()
+                        << " suspended";
+  return std::move(f.snapshot);
+}
+
+void Keeper::Begin() {
+  deadlines_.Set(now_() + settings_.every, [this] { Tick(); });
+}
+
+void Keeper::Tick() {
+  Begin();
+  disk_.Deliver();
+  if (!disk_.Has("snapshot")) return Take();
+  if (!std::exchange(complained_, true)) {
+    LogLine(Level::kWarn) << "state not kept: the disk does not answer";
+  }
+}
+
+void Keeper::Take() {
+  if (!engine_.confirmed()) return;
+  auto snapshot = std::make_shared<Snapshot>(engine_.Keep(settings_.keys));
+  snapshot->router = router_;
+  snapshot->taken = now_();
+  // Putting it into words is the thread's work, too.
+  disk_.Put("snapshot", [this, snapshot, path = Path()]() -> DiskThread::Call {
+    std::string why;
+    std::rename(path.c_str(), (path + ".1").c_str());  // there may be none yet
+    const bool ok = WriteWhole(path, Encode(*snapshot), why);
+    // Said once when it begins to fail, and once when it works again.
+    return [this, ok, why] {
+      if (ok && std::exchange(complained_, false)) LogLine(Level::kInfo) << "state is kept again";
+      if (!ok && !std::exchange(complained_, true)) LogLine(Level::kWarn) << "state not kept: " << why;
+    };
+  });
+}
+
+}  // namespace brasswood
--- /dev/null
+++ b/tests/net/state_test.cpp
@@ -0,0 +1,205 @@
+// Kept state: its text form against every kind of damage, what is believed of it, and a router that begins
+// again from it.
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <string>
+
+#include "recovery/startup.h"
+#include "state/keeper.h"
+#include "state/snapshot.h"
+#include "state/whole_file.h"
+#include "world.h"
+
+using namespace brasswood;
+using namespace brasswood::testing;
+using namespace std::chrono_literals;
+using beechledge::Availability;
+using beechledge::ListKind;
+using beechledge::Startup;
+
+namespace {
+
+Snapshot Sample() {
+  Snapshot s;
+  s.router = "n1";
+  s.taken = 1000s;
+  s.list.rev = 41;
+  s.list.entries = {{"s-1", "127.0.0.1:11", 0, 1, 2, Availability::kUp, 1.5, 900s},
+                    {"s-2", "127.0.0.1:12", 1, 0, 0, Availability::kDraining, 1, 0s}};
+  s.suspended = {"s-2"};
+  s.learnt.servers = {{0, 12.5, -3.25, 0.5, 700ms}, {1, 3, -2, 0, 0s}};
+  s.learnt.origin = {12, 0.06, 0.08};
+  for (std::uint64_t key = 1; key < 50; ++key)
+    s.learnt.keys.push_back({key * 0x9e3779b97f4a7c15u, {key % 2 == 0}});
+  return s;
+}
+
+struct StateFolder {
+  std::string path, settings;
+  StateFolder() {
+    char name[] = "/tmp/brasswood-state-XXXXXX";
+    REQUIRE(::mkdtemp(name) != nullptr);
+    path = name;
+    settings = path + "/state.json";
+    std::ofstream(settings) << R"({"state":{"folder":")" + path + R"(","every_ms":100}})";
+  }
+  ~StateFolder() { std::filesystem::remove_all(path); }
+  std::string file() const { return path + "/n1.state"; }
+  // Waits until a snapshot of a list of at least that version is there.
+  Snapshot Await(std::int64_t rev) const {
+    for (;;) {
+      std::string why;
+      const auto text = ReadWhole(file(), kMostSnapshot, why);
+      const auto got = text ? DecodeSnapshot(*text, why) : std::nullopt;
+      if (got && got->list.rev >= rev) return *got;
+      ::usleep(10000);
+    }
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a snapshot comes back as it was") {
+  const Snapshot s = Sample();
+  std::string why;
+  const auto back = DecodeSnapshot(Encode(s), why);
+  REQUIRE(back);
+  CHECK(Encode(*back) == Encode(s));
+  CHECK(back->list.entries[1].availability == Availability::kDraining);
+  CHECK(back->learnt.servers[0].avoid == 700ms);
+  CHECK(back->learnt.keys[3].holders == s.learnt.keys[3].holders);
+}
+
+TEST_CASE("a snapshot that is torn, changed or of another layout is left aside, never taken for one") {
+  const std::string text = Encode(Sample());
+  std::string why;
+  for (std::size_t n = 0; n < text.size(); ++n) {
+    INFO("cut at " << n);
+    CHECK_FALSE(DecodeSnapshot(text.substr(0, n), why));
+    std::string changed = text;
+    changed[n] = static_cast<char>(changed[n] ^ 1);
+    CHECK_FALSE(DecodeSnapshot(changed, why));
+  }
+  CHECK_FALSE(DecodeSnapshot(text + "x", why));
+  std::string newer = text;
+  newer.replace(newer.find("state 1"), 7, "state 2");
+  CHECK_FALSE(DecodeSnapshot(newer, why));
+  CHECK(why == "of another layout");
+  // Sound by its checksum, and yet it names what is not there.
+  Snapshot wild = Sample();
+  wild.learnt.servers[0].id = 7;
+  CHECK_FALSE(DecodeSnapshot(Encode(wild), why));
+  wild = Sample();
+  wild.learnt.keys[0].holders = {99};
+  CHECK_FALSE(DecodeSnapshot(Encode(wild), why));
+}
+
+TEST_CASE("the older what was learnt, the less it is believed") {
+  CHECK(Faith(0s, 300s, 3600s) == 1);
+  CHECK(Faith(300s, 300s, 3600s) == Approx(0.5));
+  CHECK(Faith(3601s, 300s, 3600s) == 0);
+  CHECK(Faith(-1s, 300s, 3600s) == 0);
+}
+
+TEST_CASE("state settings: what is wrong is one plain line") {
+  CHECK(ReadStateSettings(R"({"state":{"folder":"/x","keys":16}})").keys == 16);
+  for (const char* bad :
+       {"", "[]", "{}", R"({"state":{}})", R"({"state":{"folder":1}})",
+        R"({"state":{"folder":"/x","every_ms":1}})", R"({"state":{"folder":"/x","other":1}})"}) {
+    INFO(bad);
+    CHECK_THROWS_WITH(ReadStateSettings(bad), Catch::StartsWith("state settings: "));
+  }
+}
+
+TEST_CASE("an old list is tried one attempt at a time until discovery or an answer confirms it") {
+  Startup s;
+  CHECK(s.phase() == Startup::Phase::kListening);
+  s.Listed(ListKind::kRemembered, true);
+  CHECK(s.phase() == Startup::Phase::kRemembered);
+  CHECK(s.MayTry(0, false));
+  CHECK_FALSE(s.MayTry(1, false));
+  CHECK(s.MayTry(5, true));
+  s.Listed(ListKind::kRefused, false);
+  CHECK_FALSE(s.MayTry(1, false));
+  s.Listed(ListKind::kAll, false);
+  CHECK(s.MayTry(1, false));
+  s.Listed(ListKind::kRemembered, true);  // nothing takes that back
+  CHECK(s.MayTry(1, false));
+  Startup fresh;
+  fresh.Listed(ListKind::kRemembered, false);
+  CHECK(fresh.MayTry(1, false));
+}
+
+TEST_CASE("a router begins again from what it kept, bans among it, while discovery says nothing") {
+  StateFolder state;
+  Listener discovery, silent, node, other;
+  const std::string list =
+      Target("s1", node.address(), "in_service") + "," + Target("s2", other.address(), "in_service");
+  {
+    Process first = Start(Router::Config(discovery.address(), list), discovery.address(),
+                          {"BRASSWOOD_STATE=" + state.settings});
+    Fd watch = discovery.Accept();
+    WatchCall(watch);
+    watch.Write(Http(List(7, true, list)));
+    WatchCall(watch);
+    const Snapshot kept = state.Await(7);
+    CHECK(kept.list.entries.size() == 2);
+    REQUIRE(::kill(first.pid, SIGKILL) == 0);
+  }
+  // An operator's ban, as if said just before the end.
+  Snapshot banned = state.Await(7);
+  banned.suspended = {"s2"};
+  std::string why;
+  REQUIRE(WriteWhole(state.file(), Encode(banned), why));
+  Process again =
+      Start(Router::Config(silent.address(), ""), silent.address(), {"BRASSWOOD_STATE=" + state.settings});
+  Fd submitter(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  at.sin_port =
+      htons(static_cast<std::uint16_t>(std::stoi(again.listen.substr(again.listen.rfind(':') + 1))));
+  REQUIRE(::connect(submitter.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = "a" + std::to_string(i);
+    submitter.Write(Read("key" + std::to_string(i), id));
+    REQUIRE(FirstCalled({&node, &other}) == 0);  // never the banned one
+    Fd claim = node.Accept();
+    CHECK(claim.Line().starts_with("mg key" + std::to_string(i)));
+    claim.Write("VA 1 O" + id + "\r\nx\r\n");
+    CHECK(submitter.Line() == "VA 1 O" + id + "\r\n");
+    CHECK(submitter.Line() == "x\r\n");
+  }
+  // It knows no more than what was kept, and does not write over that.
+  CHECK(state.Await(7).suspended == std::set<std::string>{"s2"});
+}
+
+TEST_CASE(
+    "what was kept is left aside where it is another's, torn, or from the future, and the older one "
+    "serves") {
+  StateFolder state;
+  Listener discovery, node;
+  Snapshot s = Sample();
+  s.taken = std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch());
+  // The start of a router with these two generations: its log says what becomes of them.
+  const auto says = [&](const std::string& text, const std::string& older, const std::string& what) {
+    std::ofstream(state.file(), std::ios::trunc) << text;
+    std::ofstream(state.file() + ".1", std::ios::trunc) << older;
+    const Process p = Start(Router::Config(discovery.address(), ""), discovery.address(),
+                            {"BRASSWOOD_STATE=" + state.settings});
+    return p.said.find(what) != std::string::npos && !p.listen.empty();
+  };
+  const std::string sound = Encode(s);
+  s.router = "n2";
+  const std::string others = Encode(s);
+  s.router = "n1";
+  s.taken += 1h;
+  const std::string future = Encode(s);
+  CHECK(says(others, "", "of another router"));
+  CHECK(says(others, sound, "2 machines, 49 keys, 1 suspended"));
+  CHECK(says(sound.substr(0, sound.size() / 2), sound, "2 machines, 49 keys"));
+  CHECK(says(sound.substr(0, sound.size() / 2), "", "torn"));
+  CHECK(says(future, "", "in the future"));
+  CHECK(says("", "", "torn"));
+}
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -146,19 +146,22 @@
   std::string listen;  // where it serves
   std::string door;    // where its operators' door is, if it has one
   std::string path;    // of its configuration
+  std::string said;    // its log until it listened
   Process() = default;
   Process(Process&& o) noexcept
       : pid(std::exchange(o.pid, -1)),
         err(std::move(o.err)),
         listen(std::move(o.listen)),
         door(std::move(o.door)),
-        path(std::exchange(o.path, {})) {}
+        path(std::exchange(o.path, {})),
+        said(std::move(o.said)) {}
   Process& operator=(Process&& o) noexcept {
     std::swap(pid, o.pid);
     std::swap(err, o.err);
     std::swap(listen, o.listen);
     std::swap(door, o.door);
     std::swap(path, o.path);
+    std::swap(said, o.said);
     return *this;
   }
   void Reload(const std::string& config) const {
@@ -204,6 +207,7 @@
   ::close(err[1]);
   p.err = Fd(err[0]);
   for (std::string line = p.err.Until("\n"); !line.empty(); line = p.err.Until("\n")) {
+    p.said += line;
     if (const std::size_t door = line.find("operators' door on "); door != line.npos) {
       p.door = line.substr(door + 19, line.size() - door - 20);
     }
