--- a/lab/base/plan.h
+++ b/lab/base/plan.h
@@ -34,6 +34,12 @@
   return work;
 }
 
+// When the fault is over: of restarts, when the last router is started for the last time.
+inline Duration EndOf(const FaultPlan& f) {
+  if (f.kind != FaultKind::kRestart) return f.at + f.length;
+  return f.at + f.length + f.down + f.every * std::max<std::int64_t>(0, std::llround(f.size) - 1);
+}
+
 // Those of `all` that the fault hits: its count or its part of them, drawn by its number in the scenario.
 template <class T>
 std::vector<T> Victims(const Scenario& s, std::size_t number, std::vector<T> all) {
--- a/lab/base/scenario.cpp
+++ b/lab/base/scenario.cpp
@@ -81,6 +81,15 @@
   f.back_only = in.Word("way", "both", {"both", "back"}) == 1;
   f.delay = Ms(in.Number("delay_ms", 0, 0, 60000));
   f.jitter = Ms(in.Number("jitter_ms", 0, 0, 60000));
+  f.term = in.Word("signal", "kill", {"kill", "term"}) == 1;
+  f.down = Ms(in.Number("down_ms", 1000, 0, 600000));
+  f.every = Ms(in.Number("every_ms", 5000, 1, 600000));
+  f.kept = static_cast<KeptAs>(in.Word("kept", "kept", {std::begin(kKeptNames), std::end(kKeptNames)}));
+  f.known =
+      static_cast<KnownAs>(in.Word("known", "fresh", {std::begin(kKnownNames), std::end(kKnownNames)}));
+  f.age = Seconds(in.Number("age_s", 0, 0, kHour));
+  f.disk =
+      static_cast<DiskMode>(in.Word("disk", "full", {std::begin(kDiskNames), std::end(kDiskNames)}) + 1);
   const bool link =
       f.kind == FaultKind::kLinkCut || f.kind == FaultKind::kLinkSlow || f.kind == FaultKind::kLinkLossy;
   const bool on_nodes = (f.kind <= FaultKind::kReplace && !f.origin) || link ||
@@ -93,7 +102,12 @@
   if (f.kind == FaultKind::kPartition && (f.size < 2 || f.size > 16)) {
     in.Complain("size", "must name between 2 and 16 groups");
   }
-  if ((on_nodes || f.kind == FaultKind::kKill) && f.part <= 0 && f.count <= 0) {
+  const bool on_routers =
+      f.kind == FaultKind::kKill || f.kind == FaultKind::kRestart || f.kind == FaultKind::kDisk;
+  if ((f.kind == FaultKind::kDisk || f.kept != KeptAs::kKept) && !s.routers.state) {
+    in.Complain("kind", "needs [routers] state = true");
+  }
+  if ((on_nodes || on_routers) && f.part <= 0 && f.count <= 0) {
     in.Complain("part", "is missing: name a part (a share) or a count of machines");
   }
   if (f.part > 0 && f.count > 0) in.Complain("count", "contradicts part: name one of them");
@@ -188,6 +202,7 @@
   origin.Finish();
   TomlReader discovery = in.Table("discovery");
   s.discovery.late = Ms(discovery.Number("late_ms", 300, 0, 60000));
+  s.discovery.calls = discovery.Number("calls_per_s", 0, 0, 1e6);
   s.discovery.states_size = discovery.Word("weights", "nominal", {"none", "nominal"}) == 1;
   discovery.Finish();
   TomlReader routers = in.Table("routers");
@@ -196,6 +211,8 @@
     routers.Complain("per_hall", "makes more than 512 routers in all");
   }
   s.routers.memory_mb = routers.Number("memory_mb", s.routers.memory_mb, 16, 65536);
+  s.routers.state = routers.Flag("state", false);
+  s.routers.state_every = Ms(routers.Number("state_every_ms", 2000, 100, 600000));
   s.routers.sockets = routers.Whole("sockets", s.routers.sockets, 64, 1000000);
   routers.Finish();
   TomlReader load = in.Table("load");
--- a/lab/base/scenario.h
+++ b/lab/base/scenario.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "lab/preload/disk_mode.h"
 
 namespace brasswood::lab {
 
@@ -64,6 +65,7 @@
 
 struct DiscoveryPlan {
   Duration late{0};         // from a change until it is listed
+  double calls = 0;         // a second that it answers, the others with 503; 0: all
   bool states_size = true;  // capacity_hint is a node's size, and the settings say so; else always 1
 };
 
@@ -71,6 +73,8 @@
   int per_hall = 1;
   double memory_mb = 192;
   int sockets = 1024;
+  bool state = false;  // each keeps its state in a folder of its own
+  Duration state_every{0};
 };
 
 enum class Pool { kKeep, kDrop, kHoard };  // connections: used again, closed after each answer, left open
@@ -120,13 +124,25 @@
   kPartition,    // routers and nodes fall into `size` groups that do not reach each other
   kMachineDrop,  // a machine with its node and the router on it vanishes, and starts again after the length
   kCapacityDrop,  // a neighbour takes `share` of the nodes' cores
-  kFlood          // one address holds `size` silent connections at each router
+  kRestart,  // routers are stopped and begin again, in waves or more than once, with their state as said
+  kDisk,     // the disk of routers fails in one way or another
+  kFlood     // one address holds `size` silent connections at each router
 };
 inline constexpr std::string_view kFaultNames[] = {
-    "hang",       "slow",      "reset",        "refuse",        "half",           "garbage",
-    "silent",     "drain",     "replace",      "kill_router",   "discovery_down", "origin_stop",
-    "hot_key",    "burst",     "heavy",        "hall_cut",      "link_cut",       "link_slow",
-    "link_lossy", "partition", "machine_drop", "capacity_drop", "flood"};
+    "hang",           "slow",          "reset",     "refuse",     "half",
+    "garbage",        "silent",        "drain",     "replace",    "kill_router",
+    "discovery_down", "origin_stop",   "hot_key",   "burst",      "heavy",
+    "hall_cut",       "link_cut",      "link_slow", "link_lossy", "partition",
+    "machine_drop",   "capacity_drop", "restart",   "disk",       "flood"};
+
+// What a router finds of its kept state when it begins again, and what list it is given.
+enum class KeptAs { kKept, kNone, kTorn, kNewer, kFuture, kOthers, kOld };
+inline constexpr std::string_view kKeptNames[] = {"kept",   "none",   "torn", "newer",
+                                                  "future", "others", "old"};
+enum class KnownAs { kFresh, kEmpty, kOld };
+inline constexpr std::string_view kKnownNames[] = {"fresh", "empty", "old"};
+inline constexpr std::string_view kDiskNames[] = {"full", "error", "stall", "read_only",
+                                                  "short"};  // from kFull on
 
 struct FaultPlan {
   FaultKind kind = FaultKind::kHang;
@@ -141,6 +157,14 @@
   double router_part = 1;        // of faults of links: share of the routers
   bool back_only = false;        // kLinkCut: commands arrive, answers do not
   Duration delay{0}, jitter{0};  // kLinkSlow
+  // kRestart: `batch` of the routers at a time over the length, each down for `down`, `size` times in all
+  // with `every` from one to the next.
+  bool term = false;  // SIGTERM rather than -9
+  Duration down{0}, every{0};
+  KeptAs kept = KeptAs::kKept;
+  KnownAs known = KnownAs::kFresh;
+  Duration age{0};                  // of an old list, or old kept state
+  DiskMode disk = DiskMode::kFull;  // kDisk
 };
 
 // What the routers are told of the rules, and what the judge holds them to.
--- a/lab/report/figures.cpp
+++ b/lab/report/figures.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "lab/base/histogram.h"
+#include "lab/base/plan.h"
 
 namespace brasswood::lab {
 namespace {
@@ -218,11 +219,11 @@
       FaultFigures f;
       f.kind = kFaultNames[static_cast<std::size_t>(plan.kind)];
       f.from_s = Seconds(plan.at);
-      f.until_s = std::min(Seconds(s_.length), Seconds(plan.at + plan.length));
+      f.until_s = std::min(Seconds(s_.length), Seconds(EndOf(plan)));
       // What a later fault does is not this one's.
       double end = Seconds(s_.length);
       for (const FaultPlan& other : s_.faults) {
-        if (other.at >= plan.at + plan.length && &other != &plan) end = std::min(end, Seconds(other.at));
+        if (other.at >= EndOf(plan) && &other != &plan) end = std::min(end, Seconds(other.at));
       }
       const double first = std::floor(f.from_s / kBin) * kBin;
       double asked = 0;
@@ -258,6 +259,7 @@
       }
       const double quiet = first - Seconds(s_.warm_up);
       if (quiet > 0) f.extra_fetches = after - before / quiet * (look - first);
+      f.service = MeasureService(t_, static_cast<std::size_t>(&plan - s_.faults.data()));
       f_.faults.push_back(f);
     }
   }
@@ -306,6 +308,19 @@
     all.push_back({"time to recover", "s", false, recovered});
     all.push_back({"lost to faults", "requests", false, lost});
     all.push_back({"extra fetches", "", false, extra});
+    // Of the first fault: those of one trouble share the figure.
+    const ServiceFigures& service = f.faults[0].service;
+    const auto back = [&](double s) { return s < 0 ? f.length_s : s; };
+    all.push_back({"full service", "s", false, back(service.full)});
+    for (std::size_t i = 0; i < kServiceParts; ++i) {
+      all.push_back({"back: " + std::string(kServiceNames[i]), "s", false, back(service.back[i])});
+    }
+    all.push_back({"slowest router", "s", false, service.slowest_router});
+    all.push_back({"list calls", "a second", false, service.lists_per_s});
+    all.push_back({"new connections, busiest", "of the mean", false, service.connections});
+    all.push_back({"fetches out", "", false, static_cast<double>(service.fetches_out)});
+    all.push_back({"second attempts", "a second", false, service.again_per_s});
+    all.push_back({"worst second", "share", true, f.faults[0].lowest});
   }
   return all;
 }
--- a/lab/report/figures.h
+++ b/lab/report/figures.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "lab/report/service.h"
 #include "lab/report/spread.h"
 #include "lab/run/experiment.h"
 
@@ -57,6 +58,7 @@
   double recovered_s = 0, recovered_after_s = 0;
   double lost = 0;           // fewer in time than at the share before
   double extra_fetches = 0;  // at the origin, above the rate before
+  ServiceFigures service;    // time to full service
 };
 
 struct RouterFigures {
--- /dev/null
+++ b/lab/report/service.cpp
@@ -0,0 +1,279 @@
+#include "lab/report/service.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "lab/base/plan.h"
+
+namespace brasswood::lab {
+namespace {
+
+constexpr double kStep = 0.5;  // seconds of a bin
+constexpr double kStays = 5, kStaysLeast = 2;
+constexpr double kInTime = 0.02, kHits = 0.05, kOriginTimes = 1.25, kOriginMore = 0.1, kSpread = 1.3,
+                 kOpen = 0.8;
+constexpr double kLeastConnections = 5;  // of the mean node, below which a ratio says nothing
+
+double Seconds(Duration d) { return static_cast<double>(d.count()) / 1e9; }
+
+struct Series {  // by bin: parts of wholes
+  std::vector<double> part, whole;
+  explicit Series(std::size_t bins) : part(bins), whole(bins) {}
+  void Add(std::size_t bin, double p, double w) {
+    if (bin >= part.size()) return;
+    part[bin] += p;
+    whole[bin] += w;
+  }
+  // Over bins [from, to); `none` where there is nothing.
+  double Share(std::size_t from, std::size_t to, double none) const {
+    double p = 0, w = 0;
+    for (std::size_t b = from; b < std::min(to, part.size()); ++b) p += part[b], w += whole[b];
+    return w == 0 ? none : p / w;
+  }
+};
+
+class Measurer {
+ public:
+  Measurer(const Truth& t, std::size_t fault) : t_(t), s_(t.scenario), f_(s_.faults[fault]) {
+    begin_ = Seconds(f_.at);
+    end_ = Seconds(EndOf(f_));
+    // Faults that overlap are one trouble; the next one ends the look.
+    for (const FaultPlan& o : s_.faults) {
+      if (o.at <= EndOf(f_) && EndOf(o) >= f_.at) {
+        begin_ = std::min(begin_, Seconds(o.at));
+        end_ = std::max(end_, Seconds(EndOf(o)));
+      }
+    }
+    last_ = Seconds(s_.length);
+    for (const FaultPlan& o : s_.faults) {
+      if (Seconds(o.at) > end_) last_ = std::min(last_, Seconds(o.at));
+    }
+    bins_ = static_cast<std::size_t>(Seconds(s_.length) / kStep);
+  }
+
+  ServiceFigures Take() {
+    ServiceFigures out;
+    const std::size_t warm = Bin(Seconds(s_.warm_up)), first = Bin(begin_);
+    const Series in_time = InTime(), hits = Hits(), origin = Origin();
+    const double timely = in_time.Share(warm, first, 1), hit = hits.Share(warm, first, 0);
+    const double load = origin.Share(warm, first, 0);
+    out.back[0] = Back(2, [&](std::size_t b) { return in_time.Share(b, b + 2, 1) >= timely - kInTime; });
+    out.back[1] = Back(2, [&](std::size_t b) { return hits.Share(b, b + 2, 1) >= hit - kHits; });
+    out.back[2] = Back(2, [&](std::size_t b) {
+      return origin.Share(b, b + 2, 0) <= std::max(load * kOriginTimes, load + kOriginMore);
+    });
+    const std::vector<std::vector<double>> work = Work();
+    double spread = 0, looks = 0;
+    for (std::size_t b = warm; b + 4 <= first; b += 4) spread += Busiest(work, b), ++looks;
+    spread = looks == 0 ? 1 : spread / looks;
+    out.back[3] = Back(4, [&](std::size_t b) { return Busiest(work, b) <= spread * kSpread; });
+    out.back[4] = Lists();
+    const std::vector<double> open = Open();
+    double before = 0;
+    for (std::size_t b = warm; b < first; ++b)
+      before += open[b] / static_cast<double>(std::max<std::size_t>(1, first - warm));
+    out.back[5] = Back(1, [&](std::size_t b) { return open[b] >= kOpen * before; });
+    out.full = *std::max_element(out.back.begin(), out.back.end());
+    if (*std::min_element(out.back.begin(), out.back.end()) < 0) out.full = -1;
+    Slowest(out);
+    Peaks(out);
+    return out;
+  }
+
+ private:
+  std::size_t Bin(double s) const {
+    return static_cast<std::size_t>(std::max(0.0, std::ceil(s / kStep - 1e-9)));
+  }
+  std::size_t BinOf(Time at) const {
+    return at < t_.start ? bins_ : static_cast<std::size_t>(Seconds(at - t_.start) / kStep);
+  }
+
+  // Seconds from the end until `good` holds, of windows so many bins wide, and goes on to hold.
+  double Back(std::size_t wide, const std::function<bool(std::size_t)>& good) const {
+    const std::size_t last = std::min(bins_, static_cast<std::size_t>(last_ / kStep));
+    const std::size_t from = Bin(end_);
+    std::size_t since = from;
+    for (std::size_t b = from; b + wide <= last; ++b) {
+      if (!good(b)) since = b + 1;
+      const double held = static_cast<double>(b + wide - since) * kStep;
+      if (since <= b && held >= kStays) break;
+    }
+    const double at = static_cast<double>(since) * kStep;
+    if (last_ - at < kStaysLeast) return -1;
+    return std::max(0.0, at - end_);
+  }
+
+  Series InTime() const {
+    Series s(bins_);
+    for (const Intent& i : t_.load.intents) {
+      const bool timely = i.served && i.ended - i.at <= s_.classes[i.job_class].aim;
+      s.Add(BinOf(i.at), timely, 1);
+    }
+    return s;
+  }
+  Series Hits() const {
+    Series s(bins_);
+    for (const ClaimRecord& c : t_.world.claims) {
+      if (c.machine == kOrigin || (c.fate != Fate::kHit && c.fate != Fate::kMiss)) continue;
+      s.Add(BinOf(c.whole), c.fate == Fate::kHit, 1);
+    }
+    return s;
+  }
+  Series Origin() const {
+    Series s(bins_);
+    for (std::size_t b = 0; b < bins_; ++b) s.whole[b] = t_.world.machines[kOrigin].capacity.full * kStep;
+    for (const ClaimRecord& c : t_.world.claims) {
+      if (c.machine == kOrigin) s.Add(BinOf(c.whole), c.work_s, 0);
+    }
+    return s;
+  }
+  // By machine and bin, of what it can do warm.
+  std::vector<std::vector<double>> Work() const {
+    std::vector<std::vector<double>> work(t_.world.machines.size(), std::vector<double>(bins_));
+    for (const ClaimRecord& c : t_.world.claims) {
+      const std::size_t b = BinOf(c.whole);
+      if (c.machine == kOrigin || b >= bins_) continue;
+      const auto m = static_cast<std::size_t>(c.machine);
+      work[m][b] += c.work_s / t_.world.machines[m].capacity.full;
+    }
+    return work;
+  }
+  // Over two seconds from that bin: the busiest node that was there and warm all the time, of the mean.
+  double Busiest(const std::vector<std::vector<double>>& work, std::size_t bin) const {
+    const Time from =
+        t_.start + Duration(static_cast<std::int64_t>(static_cast<double>(bin) * kStep * 1e9));
+    const Time to = from + std::chrono::seconds(2);
+    double most = 0, sum = 0, weight = 0;
+    for (std::size_t m = 1; m < work.size(); ++m) {
+      const MachineRecord& r = t_.world.machines[m];
+      if (r.capacity.Cold(from) || r.capacity.started > from || (r.gone != Time(0) && r.gone < to))
+        continue;
+      double use = 0;
+      for (std::size_t b = bin; b < std::min(bin + 4, bins_); ++b) use += work[m][b];
+      most = std::max(most, use);
+      sum += use * r.capacity.full;
+      weight += r.capacity.full;
+    }
+    return sum == 0 ? 1 : most / (sum / weight);
+  }
+
+  bool Away(const Absence& a) const {
+    const double from = Seconds(a.from - t_.start);
+    return from >= begin_ - 0.5 && from <= end_ + 0.5;
+  }
+  // When the last of the routers that were away had its list, from the end.
+  double Lists() const {
+    double latest = 0;
+    std::map<int, Time> launched;  // the last time
+    for (const Absence& a : t_.absences) {
+      if (Away(a)) launched[a.router] = std::max(launched[a.router], a.launched);
+    }
+    for (const auto& [router, at] : launched) {
+      const auto told = std::find_if(t_.world.lists.begin(), t_.world.lists.end(),
+                                     [&, r = router, from = at](const ListRecord& l) {
+                                       return l.router == r && l.at >= from && !l.refused;
+                                     });
+      if (at == Time(0) || told == t_.world.lists.end()) return -1;
+      latest = std::max(latest, Seconds(told->at - t_.start) - end_);
+    }
+    return latest;
+  }
+  std::vector<double> Open() const {
+    std::vector<double> open(bins_);
+    double now = 0;
+    std::size_t b = 0;
+    for (const LinkRecord& l : t_.world.links) {
+      const std::size_t at = l.at < t_.start ? 0 : std::min(BinOf(l.at), bins_);
+      for (; b < at; ++b) open[b] = now;
+      now += l.up ? 1 : -1;
+    }
+    for (; b < bins_; ++b) open[b] = now;
+    return open;
+  }
+
+  void Slowest(ServiceFigures& out) const {
+    for (const Absence& a : t_.absences) {
+      if (!Away(a) || a.launched == Time(0)) continue;
+      Time first = Time::max();
+      for (const TryRecord& r : t_.load.tries) {
+        const bool served = r.end == TryEnd::kValue || r.end == TryEnd::kReceipt;
+        if (r.router != a.router || r.sent < a.launched || !served) continue;
+        if (r.ended - r.sent > s_.classes[t_.load.intents[r.intent].job_class].aim) continue;
+        first = std::min(first, r.ended);
+      }
+      if (first == Time::max()) continue;  // nobody asked it, or it was stopped again
+      out.slowest_router = std::max(out.slowest_router, Seconds(first - a.launched));
+    }
+  }
+
+  void Peaks(ServiceFigures& out) const {
+    const auto ms = [&](Time at) { return (at - t_.start) / std::chrono::milliseconds(1); };
+    const auto low = static_cast<std::int64_t>(begin_ * 1000);
+    const auto high = static_cast<std::int64_t>(std::min(last_, end_ + 10) * 1000);
+    const auto counts = [&](std::int64_t at) { return at >= low && at < high; };
+    std::map<std::int64_t, double> lists, again;  // by quarter of a second
+    for (const ListRecord& l : t_.world.lists) {
+      if (counts(ms(l.at))) lists[ms(l.at) / 250] += 1;
+    }
+    std::map<std::int64_t, std::map<int, int>> up;
+    for (const LinkRecord& l : t_.world.links) {
+      if (l.up && counts(ms(l.at))) ++up[ms(l.at) / 250][l.machine];
+    }
+    std::size_t nodes = 0;
+    for (std::size_t m = 1; m < t_.world.machines.size(); ++m)
+      nodes += t_.world.machines[m].gone == Time(0);
+    for (const auto& [quarter, by_node] : up) {
+      double all = 0, most = 0;
+      for (const auto& [machine, n] : by_node) all += n, most = std::max<double>(most, n);
+      const double mean = all / static_cast<double>(std::max<std::size_t>(1, nodes));
+      if (mean >= kLeastConnections) out.connections = std::max(out.connections, most / mean);
+    }
+    std::unordered_map<RequestId, int> claims;
+    std::vector<std::pair<Time, int>> out_there;
+    for (const ClaimRecord& c : t_.world.claims) {
+      const bool fetch = c.machine == kOrigin && !c.write;
+      if (c.machine != kOrigin && claims[c.request]++ > 0 && counts(ms(c.whole)))
+        again[ms(c.whole) / 250] += 1;
+      if (fetch && counts(ms(c.whole))) {
+        out_there.emplace_back(c.whole, 1);
+        if (c.end != Time(0)) out_there.emplace_back(c.end, -1);
+      }
+    }
+    std::sort(out_there.begin(), out_there.end());
+    std::int64_t now = 0;
+    for (const auto& [at, change] : out_there) {
+      now += change;
+      out.fetches_out = std::max(out.fetches_out, static_cast<std::size_t>(std::max<std::int64_t>(0, now)));
+    }
+    const auto in_a_second = [](const std::map<std::int64_t, double>& quarters) {
+      double most = 0;
+      for (const auto& [quarter, n] : quarters) {
+        double sum = 0;
+        for (auto it = quarters.find(quarter); it != quarters.end() && it->first < quarter + 4; ++it)
+          sum += it->second;
+        most = std::max(most, sum);
+      }
+      return most;
+    };
+    out.lists_per_s = in_a_second(lists);
+    out.again_per_s = in_a_second(again);
+  }
+
+  const Truth& t_;
+  const Scenario& s_;
+  const FaultPlan& f_;
+  double begin_ = 0, end_ = 0, last_ = 0;
+  std::size_t bins_ = 0;
+};
+
+}  // namespace
+
+ServiceFigures MeasureService(const Truth& truth, std::size_t fault) {
+  return Measurer(truth, fault).Take();
+}
+
+}  // namespace brasswood::lab
--- a/lab/report/write.cpp
+++ b/lab/report/write.cpp
@@ -153,6 +153,17 @@
       j.Put("recovered_after_s", x.recovered_after_s);
       j.Put("lost", x.lost);
       j.Put("extra_fetches", x.extra_fetches);
+      j.Object("service", [&] {
+        j.Put("full_s", x.service.full);
+        for (std::size_t i = 0; i < kServiceParts; ++i) {
+          j.Put((std::string(kServiceNames[i]) + "_s").c_str(), x.service.back[i]);
+        }
+        j.Put("slowest_router_s", x.service.slowest_router);
+        j.Put("lists_per_s", x.service.lists_per_s);
+        j.Put("connections_busiest", x.service.connections);
+        j.Put("fetches_out", static_cast<std::uint64_t>(x.service.fetches_out));
+        j.Put("again_per_s", x.service.again_per_s);
+      });
     });
     j.Array("nodes", f.nodes, [&](const NodeFigures& n) {
       j.Put("uid", n.uid);
@@ -250,7 +261,24 @@
       out << "back " << x.recovered_s << " s after its start, " << x.recovered_after_s
           << " s after its end";
     }
-    out << "; lost " << x.lost << " requests, " << x.extra_fetches << " extra fetches\n";
+    out << "; lost " << x.lost << " requests, " << x.extra_fetches << " extra fetches\n    full service ";
+    const auto back = [&](double s) {
+      if (s < 0) {
+        out << "never";
+      } else {
+        out << s << " s";
+      }
+    };
+    back(x.service.full);
+    out << " after its end (";
+    for (std::size_t i = 0; i < kServiceParts; ++i) {
+      out << (i == 0 ? "" : ", ") << kServiceNames[i] << ' ';
+      back(x.service.back[i]);
+    }
+    out << "), slowest router " << x.service.slowest_router << " s; at most " << x.service.lists_per_s
+        << " list calls and " << x.service.again_per_s << " second attempts a second, "
+        << x.service.fetches_out << " fetches out, new connections " << x.service.connections
+        << " of the mean\n";
   }
   out << "  rules: ";
   if (outcome.breaches.empty()) {
--- a/lab/run/experiment.cpp
+++ b/lab/run/experiment.cpp
@@ -3,9 +3,11 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <cmath>
 #include <filesystem>
 #include <fstream>
 #include <memory>
+#include <set>
 #include <thread>
 
 #include "lab/base/plan.h"
@@ -120,11 +122,19 @@
 
   Duration Since() const { return clock_.Now() - out_.truth.start; }
 
-  void Launch(RouterProcess& router) {
+  void Launch(RouterProcess& router) { LaunchWith(router, KnownAs::kFresh, Duration(0)); }
+
+  void LaunchWith(RouterProcess& router, KnownAs known, Duration age) {
     const int number = static_cast<int>(
         std::find_if(routers_.begin(), routers_.end(), [&](const auto& r) { return r.get() == &router; }) -
         routers_.begin());
-    router.Start(world_.DiscoveryEndpoint(number), world_.Known(number));
+    const std::string list = known == KnownAs::kEmpty ? R"({"rev":0,"all":true,"targets":[]})"
+                             : known == KnownAs::kOld ? world_.KnownThen(number, age)
+                                                      : world_.Known(number);
+    for (Absence& a : out_.truth.absences) {
+      if (a.router == number && a.until == Time::max()) a.launched = clock_.Now();
+    }
+    router.Start(world_.DiscoveryEndpoint(number), list);
   }
 
   bool AwaitReady(RouterProcess& router, Time until) {
@@ -134,12 +144,54 @@
     return false;
   }
 
+  struct Step {
+    Duration at{0};
+    std::function<void()> run;
+  };
+
+  // Routers that stop and begin again: waves of them, each as many times as the fault says.
+  void Restarts(const FaultPlan& f, std::size_t number, std::vector<Step>& steps) {
+    const std::vector<int> victims = Killed(f, number);
+    const auto times = std::max<std::int64_t>(1, std::llround(f.size));
+    const auto at_once = std::max<std::size_t>(
+        1, f.length == Duration(0)
+               ? victims.size()
+               : static_cast<std::size_t>(f.batch * static_cast<double>(routers_.size())));
+    const std::size_t waves = (victims.size() + at_once - 1) / at_once;
+    for (std::size_t v = 0; v < victims.size(); ++v) {
+      const int r = victims[v];
+      RouterProcess* router = routers_[static_cast<std::size_t>(r)].get();
+      const std::string others =
+          routers_[(static_cast<std::size_t>(r) + 1) % routers_.size()]->state_file();
+      const Duration wave =
+          f.length / static_cast<std::int64_t>(waves) * static_cast<std::int64_t>(v / at_once);
+      if (f.kept == KeptAs::kOld) {
+        steps.push_back({std::max(Duration(0), f.at + wave - f.age), [router] { router->KeepAside(); }});
+      }
+      for (std::int64_t n = 0; n < times; ++n) {
+        const Duration at = f.at + wave + f.every * n;
+        steps.push_back({at, [this, r, router, term = f.term] {
+                           stopping_.insert(r);
+                           if (term) return router->Terminate();
+                           out_.truth.absences.push_back({r, clock_.Now(), Time::max(), Time(0)});
+                           router->Kill();
+                         }});
+        steps.push_back({at + f.down, [this, r, router, &f, others] {
+                           // One that was asked to stop and has not by now is gone from here on.
+                           if (f.term)
+                             out_.truth.absences.push_back({r, clock_.Now(), Time::max(), Time(0)});
+                           router->Kill();
+                           router->Prepare(f.kept, others);
+                           LaunchWith(*router, f.known, f.age);
+                           stopping_.erase(r);
+                           back_.push_back(r);
+                         }});
+      }
+    }
+  }
+
   // The routers' part of the timeline: kills, restarts, samples, progress.
   void Watch(Load& load, const std::atomic<bool>& done) {
-    struct Step {
-      Duration at{0};
-      std::function<void()> run;
-    };
     std::vector<Step> steps;
     for (std::size_t i = 0; i < out_.truth.scenario.faults.size(); ++i) {
       const FaultPlan& f = out_.truth.scenario.faults[i];
@@ -148,7 +200,7 @@
           RouterProcess* router = routers_.empty() ? nullptr : routers_[static_cast<std::size_t>(r)].get();
           if (router == nullptr) continue;
           steps.push_back({f.at, [this, r, router] {
-                             out_.truth.absences.push_back({r, clock_.Now(), Time::max()});
+                             out_.truth.absences.push_back({r, clock_.Now(), Time::max(), Time(0)});
                              router->Freeze();
                            }});
           steps.push_back({f.at + f.length, [this, r, router] {
@@ -158,10 +210,18 @@
                            }});
         }
       }
+      if (f.kind == FaultKind::kRestart && !routers_.empty()) Restarts(f, i, steps);
+      if (f.kind == FaultKind::kDisk && !routers_.empty()) {
+        for (const int r : Killed(f, i)) {
+          RouterProcess* router = routers_[static_cast<std::size_t>(r)].get();
+          steps.push_back({f.at, [router, mode = f.disk] { router->SetDisk(mode); }});
+          steps.push_back({f.at + f.length, [router] { router->SetDisk(DiskMode::kSound); }});
+        }
+      }
       if (f.kind != FaultKind::kKill) continue;
       for (const int r : Killed(f, i)) {
         steps.push_back({f.at, [this, r] {
-                           out_.truth.absences.push_back({r, clock_.Now(), Time::max()});
+                           out_.truth.absences.push_back({r, clock_.Now(), Time::max(), Time(0)});
                            routers_[static_cast<std::size_t>(r)]->Kill();
                          }});
         steps.push_back({f.at + f.length, [this, r] {
@@ -210,7 +270,7 @@
     const std::size_t from = looked_ < turn ? looked_ + 1 : 0;
     looked_ = turn;
     for (std::size_t r = 0; r < routers_.size(); ++r) {
-      if (r % 100 < from || r % 100 > turn) continue;
+      if (r % 100 < from || r % 100 > turn || stopping_.contains(static_cast<int>(r))) continue;
       if (const auto code = routers_[r]->Ended()) {
         out_.troubles.push_back("router " + std::to_string(r) +
                                 " ended by itself: " + std::to_string(*code));
@@ -240,6 +300,7 @@
   Outcome out_;
   std::vector<std::unique_ptr<RouterProcess>> routers_;
   std::vector<int> back_;    // restarted, and not ready yet
+  std::set<int> stopping_;   // on the timeline's word, and not started again yet
   std::size_t looked_ = 99;  // the turn of Look that was last
   double idle_ = 1;          // of the machine's cores while the load ran
   Duration played_{0};
--- a/lab/run/router_process.cpp
+++ b/lab/run/router_process.cpp
@@ -8,13 +8,18 @@
 #include <rapidjson/writer.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/mman.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <atomic>
 #include <chrono>
+#include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <numeric>
 #include <set>
@@ -24,6 +29,8 @@
 
 #include "lab/base/rng.h"
 #include "protocol/address.h"
+#include "state/snapshot.h"
+#include "state/whole_file.h"
 
 namespace brasswood::lab {
 namespace {
@@ -61,10 +68,75 @@
   reserved_ = Reserve("127.0." + std::to_string(3 + number / 250) + "." + std::to_string(1 + number % 250),
                       listen_);
   ::unlink(log().c_str());
+  if (!scenario.routers.state) return;
+  std::filesystem::remove_all(state_folder());
+  std::filesystem::create_directories(state_folder());
+  const auto every =
+      std::chrono::duration_cast<std::chrono::milliseconds>(scenario.routers.state_every).count();
+  std::ofstream(state_folder() + ".json", std::ios::trunc)
+      << R"({"state":{"folder":")" << std::filesystem::absolute(state_folder()).string()
+      << R"(","every_ms":)" << every << "}}";
+  const int fd = ::open((state_folder() + ".disk").c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+  if (fd < 0 || ::ftruncate(fd, sizeof(int)) != 0)
+    throw std::runtime_error("no file for the state of a disk");
+  void* at = ::mmap(nullptr, sizeof(int), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+  ::close(fd);
+  if (at == MAP_FAILED) throw std::runtime_error("no file for the state of a disk");
+  disk_mode_ = static_cast<int*>(at);
+}
+
+void RouterProcess::SetDisk(DiskMode mode) {
+  if (disk_mode_ != nullptr) std::atomic_ref<int>(*disk_mode_).store(static_cast<int>(mode));
+}
+
+void RouterProcess::KeepAside() {
+  std::error_code none_yet;
+  std::filesystem::copy_file(state_file(), state_file() + ".aside",
+                             std::filesystem::copy_options::overwrite_existing, none_yet);
+}
+
+void RouterProcess::Prepare(KeptAs kept, const std::string& others) {
+  if (!scenario_.routers.state || kept == KeptAs::kKept) return;
+  std::string why;
+  const auto file = ReadWhole(state_file(), kMostSnapshot, why);
+  const auto aside = ReadWhole(state_file() + ".aside", kMostSnapshot, why);
+  const auto foreign = ReadWhole(others, kMostSnapshot, why);
+  const std::string text = file.value_or("");
+  std::filesystem::remove(state_file() + ".1");
+  std::filesystem::remove(state_file());
+  Rng rng = MakeRng(Mix(scenario_.seed * 151 + static_cast<std::uint64_t>(number_)), Stream::kFaults);
+  std::string left;
+  switch (kept) {
+    case KeptAs::kKept:
+    case KeptAs::kNone:
+      return;
+    case KeptAs::kTorn:
+      left = text.substr(0, text.empty() ? 0 : rng(static_cast<std::uint32_t>(text.size())));
+      break;
+    case KeptAs::kNewer:
+      left = text;
+      if (const std::size_t at = left.find(" 1 "); at != left.npos) left.replace(at, 3, " 999 ");
+      break;
+    case KeptAs::kFuture: {
+      auto snapshot = DecodeSnapshot(text, why);
+      if (!snapshot) return;
+      snapshot->taken += std::chrono::hours(1);
+      left = Encode(*snapshot);
+      break;
+    }
+    case KeptAs::kOthers:
+      left = foreign.value_or("");
+      break;
+    case KeptAs::kOld:
+      left = aside.value_or("");
+      break;
+  }
+  std::ofstream(state_file(), std::ios::trunc | std::ios::binary) << left;
 }
 
 RouterProcess::~RouterProcess() {
   Kill();
+  if (disk_mode_ != nullptr) ::munmap(disk_mode_, sizeof(int));
   ::close(reserved_);
 }
 
@@ -196,6 +268,18 @@
     if (std::strncmp(*e, "PROXY_", 6) != 0) kept.emplace_back(*e);
   }
   kept.push_back("PROXY_CONFIG=" + path);
+  if (scenario_.routers.state) kept.push_back("BRASSWOOD_STATE=" + state_folder() + ".json");
+  const bool disks = std::any_of(scenario_.faults.begin(), scenario_.faults.end(),
+                                 [](const FaultPlan& f) { return f.kind == FaultKind::kDisk; });
+  if (disks) {
+    kept.push_back("LD_PRELOAD=" BRASSWOOD_LAB_DISK);
+    kept.push_back("BRASSWOOD_LAB_DISK_FOLDER=" + std::filesystem::absolute(state_folder()).string());
+    kept.push_back("BRASSWOOD_LAB_DISK_MODE=" + state_folder() + ".disk");
+    // A router built with the address sanitizer wants to be the first library; here it is the second.
+    const char* options = std::getenv("ASAN_OPTIONS");
+    kept.push_back("ASAN_OPTIONS=" + (options == nullptr ? "" : std::string(options) + ":") +
+                   "verify_asan_link_order=0");
+  }
   std::vector<char*> env;
   for (std::string& e : kept) env.push_back(e.data());
   env.push_back(nullptr);
--- a/lab/run/router_process.h
+++ b/lab/run/router_process.h
@@ -38,6 +38,13 @@
   void Kill();    // -9, and waits for it
   void Freeze();  // it says nothing more, as one on a machine that has vanished; Kill ends that
   void Terminate();
+  // Its state folder as it is to find it at its next start. `others`: another router's file; `old`: put
+  // aside by KeepAside some time before.
+  void Prepare(KeptAs kept, const std::string& others);
+  void KeepAside();
+  std::string state_file() const { return state_folder() + "/n" + std::to_string(number_) + ".state"; }
+  // From now on its disk is so. Only where the scenario has faults of disks.
+  void SetDisk(DiskMode mode);
   // Waits at most so long; what it exited with, or nothing.
   std::optional<int> Wait(Duration patience);
   // Has it ended by itself? Then what it exited with (or, below 0, by which signal).
@@ -47,6 +54,7 @@
   double cpu_s() const { return cpu_s_; }
 
  private:
+  std::string state_folder() const { return folder_ + "/state-" + std::to_string(number_); }
   std::string Configuration(const std::string& discovery, const std::string& known) const;
   std::optional<int> Reap(int flags);
 
@@ -54,7 +62,8 @@
   int number_;
   std::vector<std::string> command_;
   std::string folder_, listen_;
-  int reserved_ = -1;  // holds the port
+  int reserved_ = -1;         // holds the port
+  int* disk_mode_ = nullptr;  // mapped: how its disk is
   pid_t pid_ = -1;
   int starts_ = 0;
   double cpu_s_ = 0;
--- a/lab/truth/truth.h
+++ b/lab/truth/truth.h
@@ -98,10 +98,26 @@
   Time at{0};
 };
 
+// A connection between a router and a node came up, or ended.
+struct LinkRecord {
+  int machine = 0, router = 0;
+  Time at{0};
+  bool up = true;
+};
+
+// A router asked discovery for its list, and was answered, or refused for want of room.
+struct ListRecord {
+  int router = 0;
+  Time at{0};
+  bool refused = false;
+};
+
 struct WorldTruth {
   std::vector<MachineRecord> machines;  // the origin first
   std::vector<ClaimRecord> claims;      // in the order in which they became whole
   std::vector<ToldRecord> told;
+  std::vector<LinkRecord> links;  // of the nodes, in order
+  std::vector<ListRecord> lists;  // answers written, in order
   std::vector<Time> origin_fell;
   Duration lag{0};         // the most that the world's loop ran late
   Duration cpu{0};         // of its thread
@@ -158,6 +174,7 @@
 struct Absence {
   int router = 0;
   Time from{0}, until{0};
+  Time launched{0};  // when it was started again
 };
 
 struct Truth {
--- a/lab/world/discovery.cpp
+++ b/lab/world/discovery.cpp
@@ -58,7 +58,21 @@
   }
 }
 
+// A bounded number of calls a second, of which a tenth may come at once.
+bool Discovery::Room() {
+  const double rate = world_.scenario().discovery.calls;
+  if (rate <= 0) return true;
+  const Time now = loop().Now();
+  const double gained = rate * std::chrono::duration<double>(now - filled_).count();
+  room_ = std::min(std::max(1.0, rate / 10), room_ + gained);
+  filled_ = now;
+  if (room_ < 1) return false;
+  room_ -= 1;
+  return true;
+}
+
 void Discovery::Tell(Peer& peer, std::int64_t since, bool whole) {
+  world_.truth().lists.push_back({peer.router, loop().Now(), false});
   Write(peer, HttpReply(200, "", Text(peer.router, since, whole)));
   for (const Entry& e : entries_) {
     if (e.state == Listed::kInService || (!whole && e.rev <= since)) continue;
@@ -74,6 +88,11 @@
       Write(peer, HttpReply(404, "", ""));
       continue;
     }
+    if (!Room()) {
+      world_.truth().lists.push_back({peer.router, loop().Now(), true});
+      Write(peer, HttpReply(503, "", ""));
+      continue;
+    }
     constexpr auto kNone = static_cast<std::uint64_t>(-1);
     const std::uint64_t since = QueryNumber(request.query, "since", kNone);
     if (since == kNone || static_cast<std::int64_t>(since) > rev_) {
--- a/lab/world/discovery.h
+++ b/lab/world/discovery.h
@@ -44,6 +44,7 @@
   };
   void OnBytes(Peer& peer) override;
   void OnGone(Peer& peer, bool reset) override;
+  bool Room();
   void Tell(Peer& peer, std::int64_t since, bool whole);
   std::string Text(int router, std::int64_t since, bool whole) const {
     return Compose(lines_, rev_, since, whole, router);
@@ -54,6 +55,8 @@
   std::vector<Line> lines_;  // by entry
   std::vector<Watch> watches_;
   std::int64_t rev_ = 1;
+  double room_ = 0;  // calls that may come now
+  Time filled_{0};
 };
 
 }  // namespace brasswood::lab
--- a/lab/world/execute_node.cpp
+++ b/lab/world/execute_node.cpp
@@ -38,6 +38,7 @@
 }
 
 void ExecuteNode::OnPeer(Peer& peer) {
+  world_.truth().links.push_back({number(), peer.router, loop().Now(), true});
   peer.surplus = peers() > static_cast<std::size_t>(plan_.connections);
 }
 
--- a/lab/world/machine.cpp
+++ b/lab/world/machine.cpp
@@ -98,6 +98,7 @@
 }
 
 void Machine::OnGone(Peer& peer, bool reset) {
+  if (number_ != kOrigin) world_.truth().links.push_back({number_, peer.router, loop().Now(), false});
   for (const Exchange& e : peer.owed) {
     ClaimRecord& c = world_.truth().claims[e.claim];
     if (c.end == Time(0)) c.end = loop().Now();
--- a/lab/world/world.cpp
+++ b/lab/world/world.cpp
@@ -299,13 +299,19 @@
 
 void World::Publish() {
   const std::lock_guard lock(known_lock_);
-  known_ = discovery_->Lines();
-  known_rev_ = discovery_->rev();
+  known_.push_back({loop_.Now(), discovery_->Lines(), discovery_->rev()});
 }
 
-std::string World::Known(int router) {
+std::string World::Known(int router) { return KnownThen(router, Duration(0)); }
+
+std::string World::KnownThen(int router, Duration ago) {
   const std::lock_guard lock(known_lock_);
-  return Discovery::Compose(known_, known_rev_, 0, true, router);
+  const Time then = Clock().Now() - ago;
+  const KnownList* list = &known_.front();
+  for (const KnownList& k : known_) {
+    if (k.from <= then) list = &k;
+  }
+  return Discovery::Compose(list->lines, list->rev, 0, true, router);
 }
 
 void World::Tick() {
--- a/lab/world/world.h
+++ b/lab/world/world.h
@@ -29,6 +29,8 @@
   std::string DiscoveryEndpoint(int router) const { return discovery_->endpoint(router); }
   // From any thread, also while Run is on: the list as this router would be told it.
   std::string Known(int router);
+  // The same as it was `ago`, or at the start where that is later.
+  std::string KnownThen(int router, Duration ago);
   std::vector<std::string> NodeEndpoints(int router) const;
 
   // Serves until Stop. To be called on a thread of its own.
@@ -92,8 +94,12 @@
   std::unordered_map<RequestId, Out> last_claim_;
   std::unordered_map<RequestId, std::vector<int>> missed_;
   std::mutex known_lock_;
-  std::vector<Discovery::Line> known_;  // the list, but for what each router is told of its own
-  std::int64_t known_rev_ = 0;
+  struct KnownList {  // the list, but for what each router is told of its own
+    Time from{0};
+    std::vector<Discovery::Line> lines;
+    std::int64_t rev = 0;
+  };
+  std::vector<KnownList> known_;  // every state it has been in
   LagMeter lag_;
   std::atomic<bool> stop_{false};
   std::atomic<std::int64_t> asked_start_{0};
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -62,6 +62,7 @@
     keeper = std::make_unique<Keeper>(*settings, config.name, engine, loop.deadlines(),
                                       [&loop] { return loop.Now(); });
     kept = keeper->Read();
+    watch.AskFirst();
   }
   if (kept) {
     for (const std::string& uid : kept->suspended) engine.Suspend(uid, true);
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -53,7 +53,7 @@
 void DiscoveryWatch::Call() {
   calling_ = true;
   loop_.deadlines().Drop(deadline_);
-  const bool waits = !fetch_ && rev_.has_value();
+  const bool waits = !fetch_ && rev_.has_value() && !ask_first_;
   // Its own limit: a discovery that has fallen silent keeps the connection open and never answers.
   deadline_ = loop_.deadlines().Set(
       loop_.Now() + limits_.call_grace +
@@ -72,7 +72,8 @@
     });
     return;
   }
-  const std::string text = WriteGet(address_, ListPath(fetch_ ? std::nullopt : rev_, limits_.watch));
+  const std::string text =
+      WriteGet(address_, ListPath(fetch_ ? std::nullopt : rev_, ask_first_ ? Duration(0) : limits_.watch));
   bufferevent_write(buffer_.get(), text.data(), text.size());
 }
 
@@ -118,7 +119,7 @@
   }
   loop_.deadlines().Drop(deadline_);
   calling_ = false;
-  fetch_ = anew_ = false;
+  fetch_ = anew_ = ask_first_ = false;
   rev_ = list->rev;
   // The next call goes out before the module sees the news: a watch is kept up only by calling at once.
   if (following_) Call();
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -20,6 +20,10 @@
   DiscoveryWatch(Loop& loop, Engine& engine, const Limits& limits, const Names& names, std::string address,
                  std::int64_t known, double phase = 0);
 
+  // The first call is answered at once, whether or not there is news: who has kept state wants to know
+  // whether it still holds, and a watch says nothing until something changes. One call more.
+  void AskFirst() { ask_first_ = true; }
+
   void Follow(bool on) override;
   void FetchAll() override;
 
@@ -43,7 +47,8 @@
   bool following_ = false;
   bool fetch_ = false;    // the whole list is asked for once
   bool calling_ = false;  // a call is out
-  bool anew_ = false;     // it opens a watch that fell silent
+  bool ask_first_ = false;
+  bool anew_ = false;  // it opens a watch that fell silent
   const double phase_;
   BufferPtr buffer_;
   Deadlines::Id deadline_;
--- /dev/null
+++ b/tests/lab/back_test.cpp
@@ -0,0 +1,202 @@
+// 24 processes of the router that stop and begin again together, with what they had kept in every state,
+// and on disks that fail: judged by what the emulator saw. And the measure of it, time to full service, on
+// planted runs.
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <set>
+
+#include "lab/base/plan.h"
+#include "lab/report/service.h"
+#include "site.h"
+#include "state/snapshot.h"
+#include "state/whole_file.h"
+
+using namespace brasswood;
+using namespace brasswood::lab;
+
+namespace {
+
+const char* const kState = "state = true\nstate_every_ms = 300\n";
+
+std::string BackSite(const std::string& fault) { return FleetSite(fault) + kState; }
+
+std::string LogOf(const Outcome& outcome, int router) {
+  std::ifstream in(outcome.truth.router_logs[static_cast<std::size_t>(router)]);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+int LogsWith(const Outcome& outcome, const std::string& text) {
+  int n = 0;
+  for (int r = 0; r < kRouters; ++r) n += LogOf(outcome, r).find(text) != std::string::npos;
+  return n;
+}
+
+double ServedShare(const Truth& t) {
+  double served = 0;
+  for (const Intent& i : t.load.intents) served += i.served;
+  return served / static_cast<double>(t.load.intents.size());
+}
+
+}  // namespace
+
+TEST_CASE("two dozen routers begin again together and keep the rules, whatever is left of their state") {
+  struct Row {
+    const char* name;
+    const char* fault;
+    int restarted;     // routers that were away
+    const char* says;  // their logs
+    int logs;          // so many of them at least
+  };
+  const char* kill = "[[fault]]\nkind = 'restart'\npart = 0.9\nat_s = 2.5\nfor_s = 0\ndown_ms = 300\n";
+  const Row rows[] = {
+      {"kept", "kept = 'kept'", 22, "kept state taken up for", 20},
+      {"none", "kept = 'none'", 22, "listens on", 22},
+      {"torn", "kept = 'torn'", 22, "kept state left aside", 20},
+      {"from a newer layout", "kept = 'newer'", 22, "of another layout", 20},
+      {"from the future", "kept = 'future'", 22, "taken in the future", 20},
+      {"another router's", "kept = 'others'", 22, "of another router", 12},
+      {"old, and no list", "kept = 'old'\nage_s = 0.5\nknown = 'empty'", 22, "kept state of", 20},
+      {"asked to stop", "signal = 'term'\nkept = 'kept'", 22, "kept state taken up for", 20},
+      {"in waves, twice", "batch = 0.25\nsize = 2\nevery_ms = 700", 22, "kept state taken up for", 20},
+  };
+  for (const Row& row : rows) {
+    DYNAMIC_SECTION(row.name) {
+      Folder folder;
+      const Outcome outcome = Play(BackSite(kill + std::string(row.fault) + "\n"), {BRASSWOOD_PROGRAM},
+                                   folder.path, {"length_s=5", "load.retries=2", "load.notice_ms=100"});
+      for (const std::string& trouble : outcome.troubles) FAIL_CHECK(trouble);
+      for (const Breach& b : outcome.breaches) FAIL_CHECK(Story(outcome.truth, b));
+      std::set<int> away;
+      for (const Absence& a : outcome.truth.absences) {
+        away.insert(a.router);
+        CHECK(a.launched >= a.from);
+      }
+      CHECK(static_cast<int>(away.size()) == row.restarted);
+      CHECK(LogsWith(outcome, row.says) >= row.logs);
+      CHECK(ServedShare(outcome.truth) > 0.6);
+    }
+  }
+}
+
+TEST_CASE(
+    "two dozen routers serve on through every way in which a disk fails, and keep their state afterwards") {
+  const std::pair<const char*, const char*> rows[] = {{"full", "No space left on device"},
+                                                      {"error", "Input/output error"},
+                                                      {"stall", "the disk does not answer"},
+                                                      {"read_only", "Read-only file system"},
+                                                      {"short", ""}};
+  for (const auto& [disk, says] : rows) {
+    DYNAMIC_SECTION(disk) {
+      Folder folder;
+      const std::string fault = std::string("[[fault]]\nkind = 'disk'\ndisk = '") + disk +
+                                "'\npart = 1\nat_s = 2.5\nfor_s = 1.2\n";
+      const Outcome outcome = Play(BackSite(fault), {BRASSWOOD_PROGRAM}, folder.path, {"length_s=5.5"});
+      for (const std::string& trouble : outcome.troubles) FAIL_CHECK(trouble);
+      for (const Breach& b : outcome.breaches) FAIL_CHECK(Story(outcome.truth, b));
+      CHECK(ServedShare(outcome.truth) > 0.97);
+      if (*says != '\0') {
+        CHECK(LogsWith(outcome, std::string("state not kept: ")) == kRouters);
+        CHECK(LogsWith(outcome, says) == kRouters);
+        CHECK(LogsWith(outcome, "state is kept again") >= kRouters * 9 / 10);
+      }
+      // Once it is over, or at SIGTERM, what is there is whole.
+      int sound = 0;
+      for (int r = 0; r < kRouters; ++r) {
+        std::string why;
+        const auto text =
+            ReadWhole(folder.path + "/state-" + std::to_string(r) + "/n" + std::to_string(r) + ".state",
+                      kMostSnapshot, why);
+        sound += text && DecodeSnapshot(*text, why);
+      }
+      CHECK(sound >= kRouters * 9 / 10);
+    }
+  }
+}
+
+TEST_CASE("discovery that is short of room tells all two dozen routers that begin together") {
+  Folder folder;
+  const Outcome outcome =
+      Play(BackSite("[[fault]]\nkind = 'restart'\npart = 1\nat_s = 0.8\nfor_s = 0\ndown_ms = 200\n"),
+           {BRASSWOOD_PROGRAM}, folder.path, {"discovery.calls_per_s=20", "length_s=5"});
+  for (const Breach& b : outcome.breaches) FAIL_CHECK(Story(outcome.truth, b));
+  const auto refused = std::count_if(outcome.truth.world.lists.begin(), outcome.truth.world.lists.end(),
+                                     [](const ListRecord& l) { return l.refused; });
+  CHECK(refused > 0);
+  CHECK(MeasureService(outcome.truth, 0).back[4] >= 0);  // each has had its list
+}
+
+TEST_CASE("time to full service is told from the truth") {
+  // 20 s, one request each 10 ms at one of two nodes, a router that is away from 8 to 9 s.
+  Truth t;
+  t.start = Time(std::chrono::seconds(1000));
+  Scenario& s = t.scenario;
+  s.length = std::chrono::seconds(20);
+  s.warm_up = std::chrono::seconds(2);
+  s.halls = {"hall"};
+  s.routers.per_hall = 1;
+  s.classes.resize(1);
+  s.classes[0].aim = std::chrono::milliseconds(100);
+  FaultPlan f;
+  f.kind = FaultKind::kRestart;
+  f.at = std::chrono::seconds(8);
+  f.down = std::chrono::seconds(1);
+  s.faults = {f};
+  t.world.machines.resize(3);
+  for (MachineRecord& m : t.world.machines) m.capacity.full = 4;
+  const auto at = [&](double seconds) {
+    return t.start + Duration(static_cast<std::int64_t>(seconds * 1e9));
+  };
+  for (int i = 0; i < 2000; ++i) {
+    const double now = i * 0.01;
+    const bool late = now >= 8 && now < 11;    // in time again at 11 s
+    const bool cold = now >= 8 && now < 12.5;  // hits again at 12.5 s
+    Intent intent;
+    intent.at = at(now);
+    intent.served = true;
+    intent.ended = at(now + (late ? 0.3 : 0.02));
+    t.load.intents.push_back(intent);
+    ClaimRecord c;
+    c.request = static_cast<RequestId>(i + 1);
+    c.machine = 1 + i % 2;
+    c.whole = c.first = at(now);
+    c.end = at(now + 0.01);
+    c.fate = cold ? Fate::kMiss : Fate::kHit;
+    c.work_s = 0.02f;
+    t.world.claims.push_back(c);
+    if (!cold) continue;
+    c.machine = kOrigin;
+    c.fate = Fate::kServed;
+    c.work_s = 0.03f;
+    t.world.claims.push_back(c);
+  }
+  for (int n = 0; n < 20; ++n) t.world.links.push_back({1 + n % 2, 0, at(1), true});
+  for (int n = 0; n < 20; ++n) t.world.links.push_back({1 + n % 2, 0, at(8), false});
+  for (int n = 0; n < 20; ++n) t.world.links.push_back({1 + n % 2, 0, at(9.7), true});
+  t.absences.push_back({0, at(8), at(9.1), at(9)});
+  t.world.lists = {{0, at(0.5), false}, {0, at(9.2), true}, {0, at(9.8), false}};
+  TryRecord r;
+  r.router = 0;
+  r.sent = at(9.2);
+  r.ended = at(9.25);
+  r.end = TryEnd::kValue;
+  t.load.tries.push_back(r);
+  const ServiceFigures service = MeasureService(t, 0);
+  CHECK(service.back[0] == Approx(2));    // in time at 11 s, 2 s after the end
+  CHECK(service.back[1] == Approx(3.5));  // hits
+  CHECK(service.back[2] == Approx(3.5));  // origin: it had nothing to do before
+  CHECK(service.back[3] == Approx(0));    // evenly used throughout
+  CHECK(service.back[4] == Approx(0.8));  // the list
+  CHECK(service.back[5] == Approx(0.5).margin(0.01));
+  CHECK(service.full == Approx(3.5));
+  CHECK(service.slowest_router == Approx(0.25));
+  CHECK(service.fetches_out == 1);
+  CHECK(service.lists_per_s == 2);
+  CHECK(service.connections == Approx(1));
+  // What never comes back has no figure.
+  for (ClaimRecord& c : t.world.claims) {
+    if (c.machine != kOrigin && c.whole > at(9)) c.fate = Fate::kMiss;
+  }
+  CHECK(MeasureService(t, 0).back[1] < 0);
+  CHECK(MeasureService(t, 0).full < 0);
+}
--- a/tests/lab/fleet_test.cpp
+++ b/tests/lab/fleet_test.cpp
@@ -13,23 +13,6 @@
 
 namespace {
 
-constexpr int kRouters = 24;
-
-std::string FleetSite(const std::string& fault) {
-  std::string site = Site(fault + R"(
-[[nodes]]
-count = 4
-kind = "other"
-cores = 2
-ramp_ms = 8000
-[routers]
-per_hall = 24
-)");
-  site.replace(site.find("rate = 60"), 9, "rate = 90");
-  site.replace(site.find("clients = 6"), 11, "clients = 48");
-  return site;
-}
-
 // From each fault's start to its end, with a tenth of a second for what was on its way.
 bool During(const Truth& t, Time at) {
   const FaultPlan& f = t.scenario.faults[0];
--- a/tests/lab/site.h
+++ b/tests/lab/site.h
@@ -61,6 +61,24 @@
 )" + more;
 }
 
+constexpr int kRouters = 24;
+
+// The same before 24 routers and seven nodes.
+inline std::string FleetSite(const std::string& fault) {
+  std::string site = Site(fault + R"(
+[[nodes]]
+count = 4
+kind = "other"
+cores = 2
+ramp_ms = 8000
+[routers]
+per_hall = 24
+)");
+  site.replace(site.find("rate = 60"), 9, "rate = 90");
+  site.replace(site.find("clients = 6"), 11, "clients = 48");
+  return site;
+}
+
 inline Outcome Play(const std::string& scenario, std::vector<std::string> router, const std::string& folder,
                     const Overrides& overrides = {}) {
   RunOptions options;
