Let a fetch limit fall below one: a part of the time, where hundreds share the origin

Need: with 256 routers one fetch each is more than most origins hold; the limit could not fall below one (OriginPace::Learn), so a fleet that began together kept the origin full. And at one fetch a second it took three bad ones in a row to be seen. Change: below one, a pause after each fetch makes it a part of the time, 2 s at most; bad ones count more where few are out; it rises by 1.3 up to one.

--- a/src/choice/attempts.cpp
+++ b/src/choice/attempts.cpp
@@ -20,7 +20,7 @@
 // are out as the origin is seen to bear: fetches that fail or come late would only keep it from those
 // that matter.
 bool Balancer::Core::FetchRoom(const KeyTable::Entry* entry) const {
-  return origin_pace_.Room() && (entry == nullptr || now_ >= entry->fetch_until);
+  return origin_pace_.Room(now_) && (entry == nullptr || now_ >= entry->fetch_until);
 }
 
 // May a request held for its fetch go on: has its key come meanwhile, or is there room?
--- a/src/sight/origin_pace.h
+++ b/src/sight/origin_pace.h
@@ -20,9 +20,17 @@
   static constexpr double kStart = 16, kFleetStart = 256;
 
   // Another fetch goes out; one has ended, however it did.
-  void Begin() { ++out_; }
+  void Begin(Time now) {
+    ++out_;
+    begun_ = now;
+  }
   void End() { --out_; }
-  bool Room() const { return out_ < limit_; }
+  // A limit below one is a part of the time: after a fetch as long a pause as makes it so. Guards against
+  // hundreds of balancers whose one fetch each is more than the origin can do.
+  bool Room(Time now) const {
+    if (limit_ >= 1) return out_ < limit_;
+    return out_ == 0 && Seconds(now - begun_) >= std::min(kLongest, time_ / limit_);
+  }
   // Seconds of a usual fetch.
   double Usual() const { return time_; }
   bool Strained() const { return bad_ > kBad; }
@@ -39,14 +47,15 @@
     const bool busy = out_ + 1 > limit_ / 2;
     const double rate = took < base_ ? 0.02 : busy ? 0.0005 : 0.01;
     if (ok) base_ += rate * (took - base_);
-    bad_ += 0.1 * ((bad ? 1 : 0) - bad_);
+    // Where few are out, few tell of the origin, and each counts for more.
+    bad_ += (limit_ < kFew ? 0.3 : 0.1) * ((bad ? 1 : 0) - bad_);
     if (bad && bad_ > kBad) {
       if (Seconds(now - cut_at_) > time_) {
-        limit_ = std::max(1.0, limit_ * kCut);
+        limit_ = std::max(kLeast, limit_ * kCut);
         cut_at_ = now;
       }
     } else if (!bad && busy) {
-      limit_ += 1 / limit_;
+      limit_ = limit_ < 1 ? std::min(1.0, limit_ * kRise) : limit_ + 1 / limit_;
     }
   }
 
@@ -55,10 +64,10 @@
   // Fetches begin where they stood, or nearer the start the less is believed of it. Numbers that cannot
   // have been kept here change nothing.
   void Recall(const Kept::Origin& kept, double faith) {
-    if (!(kept.limit >= 1 && kept.limit < 1e6 && kept.base > 0 && kept.base < 60 && kept.usual > 0 &&
+    if (!(kept.limit >= kLeast && kept.limit < 1e6 && kept.base > 0 && kept.base < 60 && kept.usual > 0 &&
           kept.usual < 60))
       return;
-    limit_ = std::max(1.0, limit_ + faith * (kept.limit - limit_));
+    limit_ += faith * (kept.limit - limit_);
     base_ += faith * (kept.base - base_);
     time_ += faith * (kept.usual - time_);
   }
@@ -67,12 +76,15 @@
   static constexpr double kBad = 0.25;  // share of fetches failed or late from which on the limit falls
   static constexpr double kSlow = 3;    // a fetch this many times longer than unhurried ones counts as late
   static constexpr double kCut = 0.8;   // how far the limit falls at a time
+  static constexpr double kLeast = 0.05, kRise = 1.3;  // of limits below one
+  static constexpr double kFew = 2;
+  static constexpr double kLongest = 2;  // seconds between two fetches, at most
   int out_ = 0;
   double limit_ = 16;
   double bad_ = 0;
   double base_ = 0.1;  // seconds of an unhurried fetch: follows quick ones faster than slow ones
   double time_ = 0.1;
-  Time cut_at_{0};
+  Time cut_at_{0}, begun_{-1000000000000};
 };
 
 }  // namespace beechledge
