--- a/Makefile
+++ b/Makefile
@@ -27,5 +27,5 @@
 # The full set of large fleets, some minutes; rules and expectations are judged for each.
 fleet: lab
 	for s in fleet-equal fleet-unequal fleet-300 fleet-quarter-cut fleet-links fleet-partition fleet-machine-drop \
-	    fleet-neighbour fleet-skewed back-nine-in-ten back-cold back-blind back-twice back-rolling back-disk-full; do \
+	    fleet-neighbour fleet-skewed back-nine-in-ten back-cold back-blind back-twice back-rolling back-disk-full back-disk-stall; do \
 	  build/lab/brasswood-lab run $$s --quiet --out lab-out/$$s || exit 1; done
--- a/tests/driver.h
+++ b/tests/driver.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "beechledge/balancer.h"
+#include "beechledge/kept.h"
 
 namespace beechledge::testing {
 
@@ -92,6 +93,9 @@
     }
   }
 
+  Kept Keep(std::size_t most_keys = 1000) const { return balancer_.Keep(now, most_keys); }
+  void Recall(const Kept& kept, double faith = 1) { balancer_.Recall(now, kept, faith); }
+
   void List(ListKind kind, std::vector<ServerEntry> entries) { Feed(ServerList{kind, std::move(entries)}); }
   void Servers(ServerId n) {
     std::vector<ServerEntry> entries;
--- a/tests/sight/paces_test.cpp
+++ b/tests/sight/paces_test.cpp
@@ -252,6 +252,76 @@
   EXPECT_LT(alone, 0.7);
 }
 
+// Guards against half a minute of equal weights after each restart: what was learnt of unequal servers, and
+// where keys had moved, is there from the first request on; and numbers that cannot be right change
+// nothing.
+TEST(Kept, WeightsAndHoldersAreTakenUpAgain) {
+  std::vector<ServerEntry> list;
+  std::map<int, Duration> takes;
+  for (ServerId id = 0; id < 8; ++id) {
+    list.push_back(OfKind(id, id < 4 ? 1 : 2));
+    takes[static_cast<int>(id)] = milliseconds(id < 4 ? 60 : 30);
+  }
+  const auto slow = [](const std::map<int, int>& sent) {
+    int part = 0, all = 0;
+    for (const auto& [server, n] : sent) {
+      all += n;
+      part += server < 4 ? n : 0;
+    }
+    return static_cast<double>(part) / all;
+  };
+  Driver first(AsideSettings(300));
+  first.List(ListKind::kRemembered, list);
+  Sent(first, 400, seconds(24), takes);
+  const double learnt = slow(Sent(first, 400, seconds(2), takes));
+  const Kept kept = first.Keep();
+  EXPECT_EQ(kept.servers.size(), 8u);
+  EXPECT_EQ(kept.keys.size(), 400u);
+  EXPECT_EQ(first.Keep(10).keys.size(), 10u);
+  Driver blank(AsideSettings(300)), again(AsideSettings(300)), wild(AsideSettings(300));
+  for (Driver* d : {&blank, &again, &wild}) d->List(ListKind::kRemembered, list);
+  again.Recall(kept);
+  Kept nonsense = kept;
+  for (Kept::Server& s : nonsense.servers) {
+    s.looks = -1e300;
+    s.log_time = 1e300;
+    s.log_weight = NAN;
+  }
+  nonsense.servers.push_back({4000000, 1, 1, 1, seconds(1)});
+  nonsense.keys = {{7, {4000000}}};
+  nonsense.origin = {NAN, -1, 1e300};
+  wild.Recall(nonsense);
+  const double without = slow(Sent(blank, 400, seconds(1), takes));
+  EXPECT_NEAR(slow(Sent(again, 400, seconds(1), takes)), learnt, 0.05);
+  EXPECT_GT(without, learnt + 0.1);
+  EXPECT_NEAR(slow(Sent(wild, 400, seconds(1), takes)), without, 0.02);
+}
+
+// What was avoided is tried once, carefully, after the rest of its spell.
+TEST(Kept, AServerThatWasAvoidedIsTriedCarefully) {
+  Driver first(AsideSettings(2)), again(AsideSettings(2));
+  for (Driver* d : {&first, &again}) d->Servers(4);
+  for (int i = 0; i < 400; ++i) {
+    const int to = first.Ask("k" + std::to_string(i % 20));
+    const RequestId id = first.last_id;
+    first.Pass(milliseconds(5));
+    if (to >= 0) first.Ends(id, 0, to == 2 ? Result::kConnectFailed : Result::kOk);
+  }
+  const Kept kept = first.Keep();
+  const auto avoided = std::count_if(kept.servers.begin(), kept.servers.end(),
+                                     [](const Kept::Server& s) { return s.avoid > Duration(0); });
+  ASSERT_EQ(avoided, 1);
+  again.now = first.now;
+  again.Recall(kept);
+  int there = 0;
+  for (int i = 0; i < 40; ++i) there += again.Ask("n" + std::to_string(i)) == 2;
+  EXPECT_EQ(there, 0);
+  again.AnswerAll();
+  again.Pass(seconds(10));
+  for (int i = 0; i < 40; ++i) there += again.Ask("m" + std::to_string(i)) == 2;
+  EXPECT_EQ(there, 1);
+}
+
 // Guards against a request at one router of 300 being taken for a full server: while one is out, keys,
 // mapped ones and new ones, mostly go where they go at a router that has none out. (Without weighing the
 // evidence more than two in five went elsewhere.)
