--- a/lab/report/write.cpp
+++ b/lab/report/write.cpp
@@ -262,11 +262,11 @@
           << " s after its end";
     }
     out << "; lost " << x.lost << " requests, " << x.extra_fetches << " extra fetches\n    full service ";
-    const auto back = [&](double s) {
-      if (s < 0) {
+    const auto back = [&](double after) {
+      if (after < 0) {
         out << "never";
       } else {
-        out << s << " s";
+        out << after << " s";
       }
     };
     back(x.service.full);
