--- a/tests/sight/paces_test.cpp
+++ b/tests/sight/paces_test.cpp
@@ -182,30 +182,36 @@
   return e;
 }
 
+// Eight servers, four of each kind; of unlike ones the first kind takes twice as long.
+std::pair<std::vector<ServerEntry>, std::map<int, Duration>> TwoKinds(bool unlike) {
+  std::pair<std::vector<ServerEntry>, std::map<int, Duration>> all;
+  for (ServerId id = 0; id < 8; ++id) {
+    all.first.push_back(OfKind(id, id < 4 ? 1 : 2));
+    all.second[static_cast<int>(id)] = milliseconds(unlike && id < 4 ? 60 : 30);
+  }
+  return all;
+}
+// The share that went to the first kind.
+double FirstKind(const std::map<int, int>& sent) {
+  int part = 0, all = 0;
+  for (const auto& [server, n] : sent) {
+    all += n;
+    part += server < 4 ? n : 0;
+  }
+  return static_cast<double>(part) / all;
+}
+
 // Guards against machines that are all sent alike, however unlike they are: mapped keys leave those that
 // answer slowly, a part at a time, and stay where all answer alike.
 TEST(Weights, KeysLeaveServersThatAnswerSlowlyAndStayWhereAllAnswerAlike) {
   for (const bool unlike : {false, true}) {
     Driver d(AsideSettings(300));
-    std::vector<ServerEntry> list;
-    std::map<int, Duration> takes;
-    for (ServerId id = 0; id < 8; ++id) {
-      list.push_back(OfKind(id, id < 4 ? 1 : 2));
-      takes[static_cast<int>(id)] = milliseconds(unlike && id < 4 ? 60 : 30);
-    }
+    const auto [list, takes] = TwoKinds(unlike);
     d.List(ListKind::kRemembered, list);
-    const auto slow = [](const std::map<int, int>& sent) {
-      int part = 0, all = 0;
-      for (const auto& [server, n] : sent) {
-        all += n;
-        part += server < 4 ? n : 0;
-      }
-      return static_cast<double>(part) / all;
-    };
-    const double before = slow(Sent(d, 400, seconds(2), takes));
+    const double before = FirstKind(Sent(d, 400, seconds(2), takes));
     double last = before;
     for (int i = 0; i < 12; ++i) {
-      const double now = slow(Sent(d, 400, seconds(2), takes));
+      const double now = FirstKind(Sent(d, 400, seconds(2), takes));
       EXPECT_LT(std::abs(now - last), 0.2) << "a stampede";
       last = now;
     }
@@ -256,24 +262,11 @@
 // where keys had moved, is there from the first request on; and numbers that cannot be right change
 // nothing.
 TEST(Kept, WeightsAndHoldersAreTakenUpAgain) {
-  std::vector<ServerEntry> list;
-  std::map<int, Duration> takes;
-  for (ServerId id = 0; id < 8; ++id) {
-    list.push_back(OfKind(id, id < 4 ? 1 : 2));
-    takes[static_cast<int>(id)] = milliseconds(id < 4 ? 60 : 30);
-  }
-  const auto slow = [](const std::map<int, int>& sent) {
-    int part = 0, all = 0;
-    for (const auto& [server, n] : sent) {
-      all += n;
-      part += server < 4 ? n : 0;
-    }
-    return static_cast<double>(part) / all;
-  };
+  const auto [list, takes] = TwoKinds(true);
   Driver first(AsideSettings(300));
   first.List(ListKind::kRemembered, list);
   Sent(first, 400, seconds(24), takes);
-  const double learnt = slow(Sent(first, 400, seconds(2), takes));
+  const double learnt = FirstKind(Sent(first, 400, seconds(2), takes));
   const Kept kept = first.Keep();
   EXPECT_EQ(kept.servers.size(), 8u);
   EXPECT_EQ(kept.keys.size(), 400u);
@@ -291,10 +284,10 @@
   nonsense.keys = {{7, {4000000}}};
   nonsense.origin = {NAN, -1, 1e300};
   wild.Recall(nonsense);
-  const double without = slow(Sent(blank, 400, seconds(1), takes));
-  EXPECT_NEAR(slow(Sent(again, 400, seconds(1), takes)), learnt, 0.05);
+  const double without = FirstKind(Sent(blank, 400, seconds(1), takes));
+  EXPECT_NEAR(FirstKind(Sent(again, 400, seconds(1), takes)), learnt, 0.05);
   EXPECT_GT(without, learnt + 0.1);
-  EXPECT_NEAR(slow(Sent(wild, 400, seconds(1), takes)), without, 0.02);
+  EXPECT_NEAR(FirstKind(Sent(wild, 400, seconds(1), takes)), without, 0.02);
 }
 
 // What was avoided is tried once, carefully, after the rest of its spell.
