--- a/src/admin/operator.cpp
+++ b/src/admin/operator.cpp
@@ -1,7 +1,6 @@
 #include "admin/operator.h"
 
 #include <chrono>
-#include <thread>
 #include <utility>
 
 #include "admin/figures.h"
@@ -36,12 +35,7 @@
   if (!disk_) return;
   AskDisk();
   // Nothing is served yet. Guards against a start that a dead disk holds up for good.
-  const auto until = std::chrono::steady_clock::now() + limits_.state_told;
-  while (!restored_ && std::chrono::steady_clock::now() < until) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    disk_->Deliver();
-  }
-  if (restored_) return;
+  if (disk_->Await([this] { return restored_; }, limits_.state_told)) return;
   complained_ = true;
   LogLine(Level::kWarn) << "operator state not read yet: the disk does not answer";
 }
--- a/src/state/disk_thread.cpp
+++ b/src/state/disk_thread.cpp
@@ -95,4 +95,13 @@
   for (const Call& call : back) call();
 }
 
+bool DiskThread::Await(const std::function<bool()>& done, std::chrono::nanoseconds within) {
+  const auto until = SteadyClock::now() + within;
+  while (!done() && SteadyClock::now() < until) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    Deliver();
+  }
+  return done();
+}
+
 }  // namespace brasswood
--- a/src/state/disk_thread.h
+++ b/src/state/disk_thread.h
@@ -35,6 +35,9 @@
   std::chrono::nanoseconds Stuck() const;
   // Runs what has come back.
   void Deliver();
+  // The same until `done` or `within` has passed; for a start, before anything is served. False: it is not
+  // done.
+  bool Await(const std::function<bool()>& done, std::chrono::nanoseconds within);
 
   static constexpr std::chrono::milliseconds kLast{200};
 
--- a/src/state/keeper.cpp
+++ b/src/state/keeper.cpp
@@ -7,7 +7,6 @@
 #include <fstream>
 #include <iterator>
 #include <stdexcept>
-#include <thread>
 #include <utility>
 
 #include "base/log.h"
@@ -102,12 +101,7 @@
     auto here = std::make_shared<Found>(Find(path, router));
     return [found, here] { *found = std::move(*here); };
   });
-  const auto until = std::chrono::steady_clock::now() + kReadWithin;
-  while (!*found && std::chrono::steady_clock::now() < until) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    disk_.Deliver();
-  }
-  if (!*found) {
+  if (!disk_.Await([&] { return found->has_value(); }, kReadWithin)) {
     LogLine(Level::kWarn) << "kept state not read: the disk does not answer";
     return std::nullopt;
   }
