Ask for lists that are pushed too, and hear of each change within six seconds

No log had a discovery line, and lists=0 stood in the counters at every exit. Ruled out: a bad list (none came), the names (zones and classes were read). At fault: list.cpp called only where registry_mode is on_request, while a real router has no other way to hear of a change. Now it always calls; an agent of its own at once, and again within a quarter of a drain's grace.

Connecting, answering and an answer begun have limits of their own; a watch opened anew does not wait; a watch is held 3 s, not 4; the waits stand in recovery/list_calls.h with the bound, which a test plays 3,000 times with calls that fail. Also: a whole list older than the one held, and bytes beyond an answer, were taken for news.

--- a/include/beechledge/balancer.h
+++ b/include/beechledge/balancer.h
@@ -66,6 +66,8 @@
   double over_share_worth = 1;
   bool worth_by_work = false;
   bool list_must_be_asked = false;
+  // Asked of an agent beside this balancer, which has what is pushed to it: nothing is spared by waiting.
+  bool list_agent = false;
   Origin origin = Origin::kThrough;
   int origin_kind = -1;
   double origin_fall_multiple = 0;
@@ -154,6 +156,10 @@
   kMiss,
   kSpoilt  // an answer that cannot be read: it has run, and the server is at work
 };
+// Does it prove that the attempt had no effect?
+inline bool NeverRan(Result r) {
+  return r == Result::kFull || r == Result::kConnectFailed || r == Result::kMoot || r == Result::kMiss;
+}
 enum class Note { kNone, kHit, kMiss, kMissFetching };
 
 struct LoadReport {  // a value that the site does not report is absent
--- a/src/choice/balancer.cpp
+++ b/src/choice/balancer.cpp
@@ -3,14 +3,12 @@
 
 namespace beechledge {
 
-Balancer::Core::Core(const Settings& settings, std::uint64_t seed) : set_(settings), random_(seed) {
+Balancer::Core::Core(const Settings& settings, std::uint64_t seed)
+    : set_(settings), random_(seed), list_calls_(settings) {
   set_.balancers = std::max(1, set_.balancers);
   set_.allowed.max_attempts = std::max(1, set_.allowed.max_attempts);
   set_.rules.cold_from = std::clamp(set_.rules.cold_from, 0.0, 1.0);
   set_.rules.ramp = std::max(set_.rules.ramp, Duration(1));
-  // Guards against a fleet that started together and asks again together: refusals spread as first calls
-  // do.
-  backoff_ = std::max<Duration>(seconds(1), Spread());
   origin_pace_.Start(set_.balancers);
   for (const RequestClass& c : set_.classes) longest_aim_ = std::max(longest_aim_, c.aim);
 }
--- a/src/choice/core.h
+++ b/src/choice/core.h
@@ -13,6 +13,7 @@
 #include "beechledge/kept.h"
 #include "choice/records.h"
 #include "choice/tuning.h"
+#include "recovery/list_calls.h"
 #include "recovery/startup.h"
 #include "sight/admission.h"
 #include "sight/halls.h"
@@ -131,8 +132,7 @@
   void Take(const ServerEntry& entry);
   double StatedSize(const ServerEntry& entry) const;
   void Recount();
-  Duration Spread() const;
-  void AskLater(Duration within);
+  void AskIn(Duration wait);
   void Ask();
   double Uniform() { return Unit(random_()); }
 
@@ -165,8 +165,8 @@
   Smoothed borne_, served_;  // answers, decaying: over kRateTau the rate
   OriginPace origin_pace_;
   Startup startup_;
+  ListCalls list_calls_;
   bool attached_ = false, asked_ = false, held_timer_ = false, watching_ = false;
-  Duration backoff_{0};
 };
 
 }  // namespace beechledge
--- a/src/choice/list.cpp
+++ b/src/choice/list.cpp
@@ -9,8 +9,7 @@
   startup_.Listed(e.kind, e.old);
   if (e.kind == ListKind::kRefused) {
     asked_ = false;
-    AskLater(backoff_);
-    backoff_ = std::min(backoff_ * 2, set_.rules.ask_within / 2);
+    AskIn(list_calls_.Again(now_, Uniform()));
   } else {
     if (e.kind == ListKind::kAll || e.kind == ListKind::kRemembered) {
       for (Server& s : servers_) s.listed = false;
@@ -22,12 +21,9 @@
       paces_.Remove(id);  // else the mean of the sizes would go on counting it
     }
     Recount();
-    if (e.kind != ListKind::kRemembered) backoff_ = std::max<Duration>(seconds(1), Spread());
-  }
-  // Calls of a whole fleet at its start are spread, more widely the more balancers there are.
-  if (first && set_.list_must_be_asked) {
-    AskLater(Spread());
+    if (e.kind != ListKind::kRemembered) list_calls_.Told(now_);
   }
+  if (first && set_.list_must_be_asked) AskIn(list_calls_.First(Uniform()));
 }
 
 void Balancer::Core::Take(const ServerEntry& entry) {
@@ -82,13 +78,7 @@
   if (!held_.empty()) ReleaseHeld();
 }
 
-Duration Balancer::Core::Spread() const {
-  return std::min<Duration>(milliseconds(50) * set_.balancers, set_.rules.ask_within / 3);
-}
-
-void Balancer::Core::AskLater(Duration within) {
-  SetRequestTimer(TimerKind::kAsk, 0, now_ + FromSeconds(Seconds(within) * Uniform()));
-}
+void Balancer::Core::AskIn(Duration wait) { SetRequestTimer(TimerKind::kAsk, 0, now_ + wait); }
 
 void Balancer::Core::Ask() {
   if (asked_) return;
--- a/src/choice/records.h
+++ b/src/choice/records.h
@@ -81,10 +81,6 @@
   }
 };
 
-inline bool NeverRan(Result r) {
-  return r == Result::kFull || r == Result::kConnectFailed || r == Result::kMoot || r == Result::kMiss;
-}
-
 enum class TimerKind { kDeadline, kHedge, kHeld, kAsk, kWatch };
 
 }  // namespace beechledge::choice
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -133,6 +133,10 @@
     throw BadConfig("configuration: \"settings\" is missing or not an object");
   }
   c.settings = ReadSettings(*settings);
+  // A list that is pushed reaches a real router no other way than one that is asked for: on the watch it
+  // holds. Guards against never calling at all.
+  c.settings.module.list_agent = !c.settings.module.list_must_be_asked;
+  c.settings.module.list_must_be_asked = true;
   if (c.settings.names.classes.empty()) throw BadConfig("configuration: the settings name no classes");
   const Value* limits = FindField(in, "limits");
   c.limits = FillLimits(c.settings, Number(limits, "memory_mb", 192), Number(limits, "sockets", 1024));
--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -37,6 +37,7 @@
 
   // Times.
   Duration connect{std::chrono::milliseconds(200)};
+  Duration transit{std::chrono::milliseconds(25)};  // from an attempt's last byte leaving to its arrival
   Duration idle{std::chrono::seconds(3)};           // a kept connection rests this long at most
   Duration probe{std::chrono::milliseconds(250)};   // a probe is answered within this, or failed
   Duration speak{std::chrono::milliseconds(2500)};  // a client's command is whole within this
@@ -52,14 +53,17 @@
   Duration write_stall{std::chrono::seconds(10)};   // a client that takes nothing for this long goes
   Duration default_wait{std::chrono::seconds(4)};   // of a request that states none
   Duration longest_wait{std::chrono::seconds(60)};  // of any request
-  Duration watch{std::chrono::milliseconds(4000)};  // discovery may hold a watch this long
-  Duration call_grace{
-      std::chrono::milliseconds(1500)};  // and this long beyond it before it counts as silent
-  Duration reopen_spread{std::chrono::milliseconds(500)};  // and up to this much less, by router
-  Duration linger{std::chrono::milliseconds(500)};         // after SIGTERM, before the listener closes
-  Duration max_retry_after{0};                             // 0: clients are not told when to come back
-  Duration door_call{std::chrono::milliseconds(500)};   // a door call is whole this soon after its accept
-  Duration door_linger{std::chrono::seconds(1)};        // and its caller takes the answer within this
+  // A call to discovery. What a router misses counts as told 6 s after it happened, so these and the waits
+  // between calls (recovery/list_calls.h) are together less, with one call more that fails.
+  Duration watch{std::chrono::milliseconds(3000)};        // discovery may hold a watch this long,
+  Duration watch_spread{std::chrono::milliseconds(500)};  // and up to this much less, by router
+  Duration call_grace{std::chrono::milliseconds(1000)};   // and this long beyond it: then it is silent
+  Duration call_up{std::chrono::milliseconds(1000)};      // a connection comes up within this
+  Duration call_answer{std::chrono::milliseconds(1500)};  // and a call that does not wait is answered
+  Duration linger{std::chrono::milliseconds(500)};        // after SIGTERM, before the listener closes
+  Duration max_retry_after{0};                            // 0: clients are not told when to come back
+  Duration door_call{std::chrono::milliseconds(500)};     // a door call is whole this soon after its accept
+  Duration door_linger{std::chrono::seconds(1)};          // and its caller takes the answer within this
   Duration put_back{std::chrono::milliseconds(50)};     // from the yes to a resume until its server is used
   Duration state_told{std::chrono::milliseconds(300)};  // a call waits so long to say whether it is stored
   Duration state_look{std::chrono::milliseconds(250)};  // how often the shared operator state is read
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -50,33 +50,51 @@
   Call();
 }
 
+// A call that need not wait shows at once whether discovery hears this router: the first one after silence,
+// or of a process with kept state.
+bool DiscoveryWatch::Waits() const { return !fetch_ && rev_.has_value() && !ask_first_ && !anew_; }
+
+// Routers that began together would be answered, and found forsaken, together.
+Duration DiscoveryWatch::Wait() const {
+  return Waits() ? limits_.watch - std::chrono::duration_cast<Duration>(phase_ * limits_.watch_spread)
+                 : Duration(0);
+}
+
 void DiscoveryWatch::Call() {
   calling_ = true;
-  loop_.deadlines().Drop(deadline_);
-  const bool waits = !fetch_ && rev_.has_value() && !ask_first_;
-  // Its own limit: a discovery that has fallen silent keeps the connection open and never answers.
-  deadline_ = loop_.deadlines().Set(
-      loop_.Now() + limits_.call_grace +
-          (waits ? limits_.watch - std::chrono::duration_cast<Duration>(phase_ * limits_.reopen_spread)
-                 : Duration(0)),
-      [this, waits] {
-        deadline_ = {};
-        Silent(waits);
-      });
-  if (!buffer_) Connect();
+  begun_ = false;
+  if (buffer_) {
+    AwaitAnswer();
+  } else {
+    Connect();
+  }
   if (!buffer_) {  // reported at once, but not from inside the module's own action
-    loop_.deadlines().Drop(deadline_);
-    deadline_ = loop_.deadlines().Set(loop_.Now(), [this] {
-      deadline_ = {};
-      Refuse("cannot connect");
-    });
+    Await(Duration(0), "cannot connect");
     return;
   }
-  const std::string text =
-      WriteGet(address_, ListPath(fetch_ ? std::nullopt : rev_, ask_first_ ? Duration(0) : limits_.watch));
+  const std::string text = WriteGet(
+      address_, ListPath(fetch_ ? std::nullopt : rev_, ask_first_ || anew_ ? Duration(0) : Wait()));
   bufferevent_write(buffer_.get(), text.data(), text.size());
 }
 
+void DiscoveryWatch::Await(Duration most, const char* what) {
+  loop_.deadlines().Drop(deadline_);
+  deadline_ = loop_.deadlines().Set(loop_.Now() + most, [this, what] {
+    deadline_ = {};
+    Refuse(what);
+  });
+}
+
+// Its own limit: a discovery that has fallen silent keeps the connection open and never answers.
+void DiscoveryWatch::AwaitAnswer() {
+  if (!Waits()) return Await(limits_.call_answer, "no answer in time");
+  loop_.deadlines().Drop(deadline_);
+  deadline_ = loop_.deadlines().Set(loop_.Now() + Wait() + limits_.call_grace, [this] {
+    deadline_ = {};
+    Silent();
+  });
+}
+
 void DiscoveryWatch::Connect() {
   const auto to = ParseAddress(address_);
   buffer_.reset(bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
@@ -85,8 +103,9 @@
       buffer_.get(), [](bufferevent*, void* self) { static_cast<DiscoveryWatch*>(self)->OnRead(); },
       nullptr,
       [](bufferevent*, short what, void* self) {
-        if (what & BEV_EVENT_CONNECTED) return;
-        static_cast<DiscoveryWatch*>(self)->Refuse("connection lost");
+        auto* watch = static_cast<DiscoveryWatch*>(self);
+        if (what & BEV_EVENT_CONNECTED) return watch->AwaitAnswer();
+        watch->Refuse("connection lost");
       },
       this);
   bufferevent_setwatermark(buffer_.get(), EV_READ, 0, limits_.list + limits_.http_head);
@@ -95,6 +114,8 @@
     buffer_.reset();
     return;
   }
+  // Guards against a connection that never comes up costing the time of a whole watch.
+  Await(limits_.call_up, "no connection in time");
   const int on = 1;
   setsockopt(bufferevent_getfd(buffer_.get()), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
@@ -103,19 +124,27 @@
   std::size_t used = 0;
   HttpAnswer answer;
   const Parsed got = ParseHttpAnswer(Gathered(buffer_.get()), limits_.list, limits_, used, answer);
-  if (got == Parsed::kMore) return;
+  if (got == Parsed::kMore) {
+    // Guards against an answer that stops half way: once begun, it is whole soon.
+    if (!std::exchange(begun_, true)) Await(limits_.call_answer, "an answer that stops half way");
+    return;
+  }
   if (got == Parsed::kBad || !calling_) return Refuse("a bad answer");
-  evbuffer_drain(bufferevent_get_input(buffer_.get()), used);
-  if (!answer.keep) buffer_.reset();
+  evbuffer* in = bufferevent_get_input(buffer_.get());
+  evbuffer_drain(in, used);
+  // Guards against what comes beyond an answer, which would pass for the start of the next one.
+  if (!answer.keep || evbuffer_get_length(in) != 0) buffer_.reset();
   if (answer.status != 200) return Refuse("status " + std::to_string(answer.status));
   std::string why;
   const auto list = ReadServerList(answer.body, names_, limits_, why);
   if (!list) return Refuse("server list refused: " + why);
-  // Changes to a list that is older than the one held fit neither: discovery has started anew on old state.
-  // The whole list is asked for, as the module asks again.
-  if (!list->all && rev_ && list->rev < *rev_) {
+  // What is older than the list held, where only newer was asked for, does not fit it: a late copy of an
+  // earlier answer, or a discovery that has started anew on old state. The whole list is asked for, as the
+  // module asks again.
+  if (!fetch_ && rev_ && list->rev < *rev_) {
     rev_.reset();
-    return Refuse("changes of version " + std::to_string(list->rev) + ", older than what is held");
+    return Refuse((list->all ? "a list of version " : "changes of version ") + std::to_string(list->rev) +
+                  ", older than what is held");
   }
   loop_.deadlines().Drop(deadline_);
   calling_ = false;
@@ -128,9 +157,9 @@
 
 // Guards against a list that grows old for nothing: a watch that says no word any more is broken, and what
 // it misses binds all the same, so it is opened anew at once. A refusal is another thing: there discovery
-// is short of room, and the module spreads the next calls. Silence twice in a row counts as one.
-void DiscoveryWatch::Silent(bool watched) {
-  if (!watched || anew_) return Refuse("no answer in time");
+// is short of room, and the module spreads the next calls. So is silence twice in a row: the call that
+// opens it anew does not wait.
+void DiscoveryWatch::Silent() {
   LogLine(Level::kWarn) << "discovery: the watch fell silent, opened anew";
   buffer_.reset();
   anew_ = true;
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -32,10 +32,14 @@
   void MoveTo(const std::string& address);
 
  private:
+  bool Waits() const;
+  Duration Wait() const;
   void Call();
   void Connect();
+  void Await(Duration most, const char* what);
+  void AwaitAnswer();
   void OnRead();
-  void Silent(bool watched);
+  void Silent();
   void Refuse(const std::string& why);
 
   Loop& loop_;
@@ -47,6 +51,7 @@
   bool following_ = false;
   bool fetch_ = false;    // the whole list is asked for once
   bool calling_ = false;  // a call is out
+  bool begun_ = false;    // its answer has begun to come
   bool ask_first_ = false;
   bool anew_ = false;  // it opens a watch that fell silent
   const double phase_;
--- /dev/null
+++ b/tests/net/endings_test.cpp
@@ -0,0 +1,150 @@
+// What is still owed when something ends: each bad order is forced by peers that hold, release and reset at
+// a named point, never by a sleep.
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "in_process.h"
+
+using namespace brasswood;
+using namespace brasswood::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string Replaced(std::string text, const std::string& from, const std::string& to) {
+  const std::size_t at = text.find(from);
+  REQUIRE(at != text.npos);
+  return text.replace(at, from.size(), to);
+}
+
+// A listener whose queue is full: connections to it never come up until it accepts.
+class Deaf {
+ public:
+  explicit Deaf(bool now = true) {
+    REQUIRE(::listen(at_.get(), 0) == 0);  // a queue of none takes one
+    if (now) Fill();
+  }
+  const std::string& address() const { return at_.address(); }
+  Fd Accept() const { return at_.Accept(); }
+  void Fill() {
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    to.sin_port = htons(static_cast<std::uint16_t>(std::stoi(at_.address().substr(10))));
+    fill_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    REQUIRE(::connect(fill_.get(), reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+  }
+  // From now on it hears: what filled its queue goes.
+  void Drain() {
+    ::listen(at_.get(), 16);
+    at_.Accept();
+  }
+
+ private:
+  Listener at_;
+  Fd fill_;
+};
+
+}  // namespace
+
+// ---- Discovery ----
+
+// Guards against one customer's settings in another's router: where lists are pushed nobody ever called.
+TEST_CASE("a list that is pushed is heard at once, and again as soon as its agent is back") {
+  Listener node, agent;
+  std::string config = Router::Config(agent.address(), Target("s1", node.address(), "in_service"));
+  config = Replaced(config, R"("registry_mode":"on_request")", R"("registry_mode":"pushed")");
+  config = Replaced(config, R"("balancers":1,)",
+                    R"("balancers":60000,)");  // a spread call would take 50 minutes
+  config = Replaced(config, R"("ask_within":10000000000)", R"("ask_within":10000000000000)");
+  Process process = Start(config, agent.address());
+  for (int rev = 1; rev < 4; ++rev) {
+    Fd watch = agent.Accept();
+    CHECK(WatchCall(watch).starts_with("GET /api/targets?since=" + std::to_string(rev) + "&"));
+    const std::string state = rev % 2 == 1 ? "terminating" : "in_service";
+    watch.Write(Http(List(rev + 1, false, Target("s1", node.address(), state))));
+    CHECK_FALSE(process.err.Until("s1 at " + node.address() + " is ").empty());
+    WatchCall(watch);  // the next one is out; the agent dies under it
+  }
+}
+
+// Guards against the time of a whole watch for a connection to discovery that never comes up.
+TEST_CASE("a connection to discovery that never comes up is given up long before a watch would be") {
+  Listener node;
+  Deaf discovery;
+  InProcess router(Router::Config(discovery.address(), Target("s1", node.address(), "in_service")),
+                   [](Limits& l) {
+                     l.watch = 1h;
+                     l.call_up = 20ms;
+                   });
+  std::this_thread::sleep_for(200ms);  // so that its first try meets deafness; no verdict hangs on it
+  discovery.Drain();
+  Fd watch = discovery.Accept();
+  CHECK(WatchCall(watch).starts_with("GET /api/targets?since=1&"));
+}
+
+TEST_CASE("an answer of discovery that stops half way costs no whole watch") {
+  Listener node, discovery;
+  InProcess router(Router::Config(discovery.address(), Target("s1", node.address(), "in_service")),
+                   [](Limits& l) {
+                     l.watch = 1h;
+                     l.call_answer = 50ms;
+                   });
+  Fd watch = discovery.Accept();
+  WatchCall(watch);
+  const std::string answer = Http(List(2, false, Target("s1", node.address(), "terminating")));
+  watch.Write(answer.substr(0, answer.size() / 2));
+  CHECK(watch.Ended());
+  Fd again = discovery.Accept();
+  CHECK(WatchCall(again).starts_with("GET /api/targets?since=1&"));
+  again.Write(answer);
+  CHECK(WatchCall(again).starts_with("GET /api/targets?since=2&"));
+}
+
+// Guards against silence that is found twice over: the call after it shows at once whether it is heard.
+TEST_CASE("the call that opens a silent watch anew does not wait, and a second silence is soon found") {
+  Listener node, discovery;
+  InProcess router(Router::Config(discovery.address(), Target("s1", node.address(), "in_service")),
+                   [](Limits& l) {
+                     l.watch = 30ms;
+                     l.watch_spread = 0ms;
+                     l.call_grace = 30ms;
+                     l.call_answer = 50ms;
+                   });
+  Fd watch = discovery.Accept();
+  CHECK(WatchCall(watch).find("since=1&timeout_ms=30 ") != std::string::npos);
+  Fd anew = discovery.Accept();  // nothing was said on the first
+  CHECK(watch.Ended());
+  CHECK(WatchCall(anew).find("since=1&timeout_ms=0 ") != std::string::npos);
+  Fd third = discovery.Accept();  // nor on this one
+  CHECK(anew.Ended());
+  WatchCall(third);
+}
+
+// Guards against a late copy of an earlier answer: it would put a server that drains back into service.
+TEST_CASE("a whole list that is older than the one held changes nothing and is asked for once more") {
+  Listener node;
+  Router router(Target("s1", node.address(), "in_service"));
+  Fd discovery = router.discovery.Accept();
+  WatchCall(discovery);
+  const std::string old = Http(List(2, true, Target("s1", node.address(), "in_service")));
+  discovery.Write(Http(List(3, true, Target("s1", node.address(), "terminating"))));
+  WatchCall(discovery);
+  discovery.Write(old);
+  CHECK_FALSE(router.process.err.Until("a list of version 2, older than what is held").empty());
+  Fd again = router.discovery.Accept();
+  CHECK(WatchCall(again).starts_with("GET /api/targets HTTP"));
+}
+
+TEST_CASE("what discovery sends beyond an answer is not taken for the next one") {
+  Listener node;
+  Router router(Target("s1", node.address(), "in_service"));
+  Fd discovery = router.discovery.Accept();
+  WatchCall(discovery);
+  discovery.Write(Http(List(2, false, "")) +
+                  Http(List(9, true, Target("s2", node.address(), "in_service"))));
+  CHECK(discovery.Ended());
+  Fd again = router.discovery.Accept();
+  CHECK(WatchCall(again).starts_with("GET /api/targets?since=2&"));
+}
--- a/tests/sight/parts_test.cpp
+++ b/tests/sight/parts_test.cpp
@@ -2,6 +2,13 @@
 // and the histogram of answer times.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <numeric>
+#include <random>
+#include <vector>
+
+#include "config/limits.h"
+#include "recovery/list_calls.h"
 #include "sight/admission.h"
 #include "sight/home_share.h"
 #include "sight/key_table.h"
@@ -149,5 +156,66 @@
   EXPECT_LT(t.Chance(milliseconds(50), milliseconds(400)), 0.6 * before);
 }
 
+// Whatever the calls before came to, and one more after it: what discovery had when it could be reached is
+// heard within the time after which it counts as told.
+TEST(ListCalls, TellWithinTheirBoundWhateverCallsFailAndHowMany) {
+  const brasswood::Limits limits;
+  const Duration failures[] = {Duration(0), limits.call_up, limits.call_answer};
+  for (std::uint64_t seed = 1; seed <= 3000; ++seed) {
+    std::mt19937_64 random(seed);
+    const auto any = [&] { return std::uniform_real_distribution<double>(0, 1)(random); };
+    Settings s;
+    s.balancers = seed % 3 == 0 ? 300 : 3;
+    s.list_agent = seed % 5 == 0;
+    ListCalls calls(s);
+    Time now = seconds(100), back;
+    const bool swallowed = seed % 2 == 0;
+    if (swallowed) {  // it falls silent under a watch that has just begun, and goes on for others
+      calls.Told(now);
+      back = now;
+      now += limits.watch + limits.call_grace;
+    } else {  // it is gone for a while; the call that is out as it returns still comes to nothing
+      back = now + FromSeconds(20 * any());
+      now += calls.First(any());
+      while (now < back) {
+        now += failures[random() % 3];
+        now += calls.Again(now, any());
+      }
+    }
+    now += calls.Again(now += failures[0], any());  // one that is refused, at the return or anew
+    EXPECT_LE(now - back, ListCalls::kTold) << seed;
+  }
+}
+
+TEST(ListCalls, AFleetThatIsRefusedTogetherSpreadsItsCalls) {
+  constexpr int kRouters = 300;
+  Settings s;
+  s.balancers = kRouters;
+  std::mt19937_64 random(1);
+  const auto any = [&] { return std::uniform_real_distribution<double>(0, 1)(random); };
+  std::vector<int> calls(100);  // by tenth of a second
+  for (int router = 0; router < kRouters; ++router) {
+    ListCalls own(s);
+    Time now = seconds(0);
+    now += own.First(any());
+    while (now < seconds(10)) {
+      ++calls[static_cast<std::size_t>(now / milliseconds(100))];
+      now += own.Again(now, any());
+    }
+  }
+  EXPECT_LT(*std::max_element(calls.begin(), calls.end()), kRouters / 4);
+  EXPECT_LT(std::accumulate(calls.begin(), calls.end(), 0), kRouters * 10);
+}
+
+TEST(ListCalls, AnAgentOfOnesOwnIsCalledAtOnceAndAgainWellWithinADrainsGrace) {
+  Settings s;
+  s.balancers = 300;
+  s.list_agent = true;
+  s.rules.drain_grace = milliseconds(300);
+  ListCalls calls(s);
+  EXPECT_EQ(calls.First(1), Duration(0));
+  for (int i = 0; i < 20; ++i) EXPECT_LE(calls.Again(seconds(1 + i), 1), s.rules.drain_grace / 4);
+}
+
 }  // namespace
 }  // namespace beechledge::testing
