Look again at window, deadline and address where an attempt's first byte leaves

Found by reading, and shown by a test: AttemptPool::WriteErrand looked again for a drain alone when a slow dial ended. The window for a keyed repeat and the request's time were looked at when the attempt was made, up to a connect timeout earlier; and a server that moved meanwhile was written to where it had been. Now Engine::MayWrite says it for the attempt as a whole, a keyed repeat has a moment by which its last byte has left (its window less the way there), and one whose last byte is held back by a full socket ends then as never sent.

Ruled out: the client's going and a drain (both closed the dial already). The test holds the repeat's connection in a full accept queue past the window.

--- a/src/core/ends.h
+++ b/src/core/ends.h
@@ -84,8 +84,11 @@
 class Back {
  public:
   virtual ~Back() = default;
+  // `until`: an answer is of use until then. `sent_by`: its last byte leaves before that moment, or it ends
+  // as never sent. Before its first byte the back end asks Engine::MayWrite, as much may have changed by
+  // then.
   virtual void Start(AttemptId attempt, ServerId to, std::shared_ptr<const RequestContent> request,
-                     Time until) = 0;
+                     Time until, Time sent_by) = 0;
   virtual void Probe(AttemptId probe, ServerId to, bool load) = 0;
   // Closes the attempt's connection at once and tells whether all of the attempt had left. Nothing more is
   // reported for it.
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -208,7 +208,8 @@
   }
   Time until = request->deadline;
   if (a.timeout > Duration(0)) until = std::min(until, now + a.timeout);
-  const AttemptId id = attempts_.Add({a.id, a.server, attempt, now, {}});
+  const Time sent_by = std::min(until, request->repeat_by);
+  const AttemptId id = attempts_.Add({a.id, a.server, attempt, now, sent_by, {}});
   request->out.push_back(id);
   request->asked.push_back(a.server);
   attempts_.Find(id)->deadline = deadlines_.Set(until, [this, id] {
@@ -216,7 +217,7 @@
     Pump();
   });
   ++counters_.attempts_sent;
-  BackOf(a.server).Start(id, a.server, request->content, until);
+  BackOf(a.server).Start(id, a.server, request->content, until, sent_by);
 }
 
 // Ends an attempt from this side. Its connection closes here, before the module hears of it and can send
@@ -256,6 +257,12 @@
                          << NameOf(static_cast<std::size_t>(end.result)) << " after "
                          << latency.count() / 1000 << " us";
   std::erase(request->out, id);
+  const auto of = static_cast<std::size_t>(request->request_class);
+  if (!beechledge::NeverRan(end.result) && of < settings_.classes.size() &&
+      settings_.classes[of].effect == beechledge::Effect::kKeyed) {
+    request->repeat_by =
+        std::min(request->repeat_by, attempt.sent + settings_.classes[of].window - limits_.transit);
+  }
   if (end.result == Result::kOk) {
     AnswerRequest(
         *request,
@@ -339,7 +346,7 @@
 void Engine::Do(const beechledge::FetchList&) { watch_->FetchAll(); }
 void Engine::Do(const beechledge::Probe& a) {
   if (!settings_.allowed.probes || a.server >= servers_.size()) return;
-  const AttemptId id = attempts_.Add({0, a.server, 0, now_(), {}});
+  const AttemptId id = attempts_.Add({0, a.server, 0, now_(), {}, {}});
   attempts_.Find(id)->deadline = deadlines_.Set(now_() + limits_.probe, [this, id] {
     GiveUp(id, Result::kTimeout);
     Pump();
@@ -358,12 +365,15 @@
   return id < servers_.size() ? &servers_[id] : nullptr;
 }
 
-// The rule on drains counts from an attempt's first byte, which may leave some time after the attempt was
-// made (a connection had to come up first). Half of the grace stays in hand.
-bool Engine::MayWrite(ServerId id) const {
-  const Server* m = FindServer(id);
-  if (m == nullptr) return false;
-  return m->availability == Availability::kUp || now_() - m->since < settings_.rules.drain_grace / 2;
+// Half of a drain's grace stays in hand: the rule counts from an attempt's first byte.
+bool Engine::MayWrite(AttemptId id, const std::string& endpoint) const {
+  const Attempt* attempt = attempts_.Find(id);
+  if (attempt == nullptr) return false;
+  const Server& s = servers_[attempt->server];
+  const Time now = now_();
+  const bool drained =
+      s.availability != Availability::kUp && now - s.since >= settings_.rules.drain_grace / 2;
+  return !drained && s.endpoint == endpoint && now < attempt->sent_by;
 }
 
 void Engine::Remember(const ServerList& known, bool old) {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -53,8 +53,9 @@
   // Bytes waiting for the client of this attempt's request; 0 where there is none.
   std::size_t Backlog(AttemptId attempt) const;
   const Server* FindServer(ServerId id) const;
-  // May the first byte of an attempt go to this server now?
-  bool MayWrite(ServerId id) const;
+  // May the first byte of this attempt leave now, on a connection that leads to `endpoint`? It was decided
+  // when the attempt was made, and a connection had to come up since.
+  bool MayWrite(AttemptId id, const std::string& endpoint) const;
 
   // From discovery.
   // `old`: it was held so long ago that servers in it may have been replaced.
@@ -102,12 +103,14 @@
     AttemptId streaming = 0;  // the attempt whose value goes on in pieces
     std::vector<AttemptId> out;
     std::vector<ServerId> asked;
+    Time repeat_by{Time::max()};  // of a keyed one that may have run: its repeats have left by then
   };
   struct Attempt {
     RequestId request = 0;  // 0: a probe
     ServerId server = 0;
     int number = 0;  // among its request's, from 0
     Time sent{0};
+    Time sent_by{0};  // its last byte has left by then
     Deadlines::Id deadline;
   };
 
--- a/src/net/attempt_pool.cpp
+++ b/src/net/attempt_pool.cpp
@@ -23,16 +23,19 @@
 }
 
 AttemptPool::~AttemptPool() {
-  for (Connection& c : connections_) loop_.deadlines().Drop(c.deadline);
+  for (Connection& c : connections_) {
+    loop_.deadlines().Drop(c.deadline);
+    loop_.deadlines().Drop(c.leaving);
+  }
   std::erase(budget_.pools, this);
 }
 
 void AttemptPool::Start(AttemptId attempt, ServerId to, std::shared_ptr<const RequestContent> request,
-                        Time until) {
-  Begin(to, {attempt, std::move(request), false, until});
+                        Time until, Time sent_by) {
+  Begin(to, {attempt, std::move(request), false, until, sent_by});
 }
 void AttemptPool::Probe(AttemptId probe, ServerId to, bool load) {
-  Begin(to, {probe, nullptr, load, loop_.Now() + limits_.probe});
+  Begin(to, {probe, nullptr, load, loop_.Now() + limits_.probe, {}});
 }
 
 void AttemptPool::Begin(ServerId to, Errand errand) {
@@ -130,8 +133,9 @@
 
 void AttemptPool::WriteErrand(Connection& c) {
   const Server* server = engine_.FindServer(c.server);
-  if (c.errand.request && !engine_.MayWrite(c.server)) {
-    // The server was told to drain while the connection came up. The connection itself is sound.
+  if (c.errand.request && !engine_.MayWrite(c.errand.attempt, c.endpoint)) {
+    // While the connection came up its server was told to drain, or has moved, or a keyed request's time
+    // for repeats is over. The connection itself is sound.
     const AttemptId attempt = c.errand.attempt;
     Rest(c);
     AttemptEnd end;
@@ -141,11 +145,19 @@
   const std::string text = Write(c.errand, *server, c.errand.until - loop_.Now());
   c.written = true;
   c.counted = false;
+  // Guards against a repeat whose last byte the other side's full window holds back past its time.
+  if (c.errand.request && c.errand.sent_by < c.errand.until) {
+    c.leaving = loop_.deadlines().Set(c.errand.sent_by, [this, place = c.self] {
+      place->leaving = {};
+      if (!LeftWhole(*place)) Break(*place, Result::kConnectFailed);
+    });
+  }
   bufferevent_write(c.buffer.get(), text.data(), text.size());
 }
 
 // The output has gone to the kernel whole: the attempt counts as an attempt from here.
 void AttemptPool::OnWritten(Connection& c) {
+  loop_.deadlines().Drop(c.leaving);
   if (!c.written || c.counted || !c.errand.request) return;
   c.counted = true;
   ++counters_.upstream_tries;
@@ -299,6 +311,7 @@
     return Drop(c);
   }
   busy_.erase(c.errand.attempt);
+  loop_.deadlines().Drop(c.leaving);
   c.errand = {};
   c.written = false;
   c.idle = true;
@@ -321,6 +334,7 @@
 
 void AttemptPool::Drop(Connection& c) {
   loop_.deadlines().Drop(c.deadline);
+  loop_.deadlines().Drop(c.leaving);
   if (c.idle) std::erase(idle_[c.server], c.self);
   busy_.erase(c.errand.attempt);
   --budget_.open;
--- a/src/net/attempt_pool.h
+++ b/src/net/attempt_pool.h
@@ -30,8 +30,8 @@
   AttemptPool(Loop& loop, Engine& engine, const Limits& limits, Counters& counters, ConnBudget& budget);
   ~AttemptPool() override;
 
-  void Start(AttemptId attempt, ServerId to, std::shared_ptr<const RequestContent> request,
-             Time until) override;
+  void Start(AttemptId attempt, ServerId to, std::shared_ptr<const RequestContent> request, Time until,
+             Time sent_by) override;
   void Probe(AttemptId probe, ServerId to, bool load) override;
   bool Abandon(AttemptId attempt) override;
   void CloseIdle(ServerId server) override;
@@ -45,6 +45,7 @@
     std::shared_ptr<const RequestContent> request;  // empty: a probe
     bool load = false;                              // of a probe: for the load report
     Time until{0};
+    Time sent_by{0};
   };
   virtual std::string Write(const Errand& errand, const Server& server, Duration left) const = 0;
   // `keep`: the connection may be used again.
@@ -81,6 +82,7 @@
     Time rested{0};  // since when, if idle
     Errand errand;
     Deadlines::Id deadline;  // for coming up, for an answer begun, or for resting
+    Deadlines::Id leaving;   // for the errand's last byte
   };
 
   void Begin(ServerId to, Errand errand);
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -56,8 +56,10 @@
   void Open(std::uint64_t ticket, std::size_t length) override { opened[ticket] = length; }
   void Piece(std::uint64_t ticket, std::string_view bytes) override { pieces[ticket].append(bytes); }
   std::size_t Backlog(std::uint64_t ticket) const override { return pieces.contains(ticket) ? 1 : 0; }
-  void Start(AttemptId attempt, ServerId to, std::shared_ptr<const RequestContent>, Time) override {
+  void Start(AttemptId attempt, ServerId to, std::shared_ptr<const RequestContent>, Time,
+             Time by) override {
     attempts.push_back({attempt, to});
+    sent_by.push_back(by);
     if (fail_at_once) engine->AttemptEnded(attempt, {Result::kConnectFailed, {}, {}, {}});
   }
   void Probe(AttemptId, ServerId, bool) override {}
@@ -76,17 +78,22 @@
   std::map<std::uint64_t, std::size_t> opened;
   std::map<std::uint64_t, std::string> pieces;
   std::vector<std::pair<AttemptId, ServerId>> attempts;
+  std::vector<Time> sent_by;
   std::vector<AttemptId> abandoned;
   std::vector<ServerId> forgotten;
 };
 
 struct World {
-  World() {
+  explicit World(Duration window = 1s) {
     SetLog(quiet, Level::kOff);
-    beechledge::RequestClass safe, unsafe;
+    beechledge::RequestClass safe, unsafe, keyed;
     safe.aim = safe.deadline = unsafe.aim = unsafe.deadline = 1s;
     safe.effect = beechledge::Effect::kSafe;
-    settings.classes = {safe, unsafe};
+    keyed = safe;
+    keyed.effect = beechledge::Effect::kKeyed;
+    keyed.group = beechledge::Group::kAll;
+    keyed.window = window;
+    settings.classes = {safe, unsafe, keyed};
     settings.allowed.max_attempts = 3;
     settings.allowed.cancel = true;
     settings.rules.drain_grace = 1s;
@@ -105,9 +112,9 @@
     }
     engine->Remember(list);
   }
-  RequestId Take(std::uint64_t ticket, int request_class = 0) {
+  RequestId Take(std::uint64_t ticket, int request_class = 0, const std::string& key = "k") {
     NewRequest request;
-    request.content = std::make_shared<const RequestContent>(RequestContent{"i", "k", "", "", false});
+    request.content = std::make_shared<const RequestContent>(RequestContent{"i", key, "", "", false});
     request.request_class = request_class;
     request.wait = 900ms;
     return engine->Take(ends, ticket, request);
@@ -243,25 +250,64 @@
 
 TEST_CASE("no first byte goes to a server told to drain, past part of the grace") {
   World w;
+  w.Take(7);
+  const auto [there, asked] = w.ends.attempts[0];
   ServerList news;
   news.all = false;
-  news.entries.push_back({"s1", "127.0.0.1:1", 0, 0, 0, Availability::kDraining, 1, 0s});
+  news.entries.push_back(
+      {asked == 0 ? "s1" : "s2", "127.0.0.1:1", 0, 0, 0, Availability::kDraining, 1, 0s});
   w.engine->Told(news);
-  CHECK(w.engine->MayWrite(0));  // an attempt made just before may still leave
+  CHECK(w.engine->MayWrite(there, "127.0.0.1:1"));  // an attempt made just before may still leave
+  w.Take(8, 0, "another key");
+  REQUIRE(w.ends.attempts.size() == 2);
+  const auto [elsewhere, other] = w.ends.attempts[1];
+  CHECK(other != asked);
   w.now += 501ms;
-  CHECK_FALSE(w.engine->MayWrite(0));
-  CHECK(w.engine->MayWrite(1));
+  CHECK_FALSE(w.engine->MayWrite(there, "127.0.0.1:1"));
+  CHECK(w.engine->MayWrite(elsewhere, "127.0.0.1:1"));
+  CHECK_FALSE(w.engine->MayWrite(elsewhere, "127.0.0.1:2"));  // its server has moved since
+  w.To(w.now + 1s);
+  CHECK_FALSE(w.engine->MayWrite(elsewhere, "127.0.0.1:1"));  // and its time is over
+}
+
+// Guards against a window that is looked at before a connection is made, and runs out while it comes up.
+TEST_CASE("no first byte of a keyed repeat leaves once its window is over") {
+  for (const Result first : {Result::kReset, Result::kFull}) {
+    World w(200ms);
+    w.Take(7, 2);
+    REQUIRE(w.ends.attempts.size() == 1);
+    const AttemptId one = w.ends.attempts[0].first;
+    w.now += 100ms;
+    w.engine->AttemptEnded(one, {first, {}, {}, {}});
+    REQUIRE(w.ends.attempts.size() == 2);
+    const AttemptId again = w.ends.attempts[1].first;
+    CHECK(w.ends.sent_by[1] - w.now == (first == Result::kReset ? 75ms : 800ms));
+    w.now += 74ms;
+    CHECK(w.engine->MayWrite(again, "127.0.0.1:1"));
+    w.now += 2ms;  // the last byte takes its time to arrive
+    CHECK(w.engine->MayWrite(again, "127.0.0.1:1") == (first == Result::kFull));  // that one never ran
+  }
 }
 
 TEST_CASE("a server suspended by hand drains whatever discovery says, until one resume") {
   World w;
+  std::string key = "k";  // one whose place is at s1
+  do {
+    w.Take(20, 0, key += '+');
+  } while (w.ends.attempts.back().second != 0);
+  const AttemptId before = w.ends.attempts.back().first;
+  for (const auto& [attempt, to] : std::vector(w.ends.attempts)) {
+    if (attempt != before) w.engine->AttemptEnded(attempt, {Result::kOk, {}, {}, "v"});
+  }
+  w.ends.attempts.clear();
   CHECK_FALSE(w.engine->Suspend("nobody"));  // no such server: a no
   CHECK_FALSE(w.engine->Resume("nobody"));
   REQUIRE(w.engine->Suspend("s1"));
   REQUIRE(w.engine->Suspend("s1"));  // twice out
   CHECK(w.engine->FindServer(0)->availability == Availability::kDraining);
   w.now += 501ms;
-  CHECK_FALSE(w.engine->MayWrite(0));
+  CHECK_FALSE(w.engine->MayWrite(before, "127.0.0.1:1"));
+  w.engine->AttemptEnded(before, {Result::kOk, {}, {}, "v"});
   ServerList again;  // discovery lists it in service all the same
   again.entries.push_back({"s1", "127.0.0.1:1", 0, 0, 0, Availability::kUp, 1, 0s});
   again.entries.push_back({"s2", "127.0.0.1:1", 0, 0, 0, Availability::kUp, 1, 0s});
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -48,6 +48,38 @@
 
 }  // namespace
 
+// ---- What was decided before a connection came up ----
+
+// Guards against a keyed write that goes out again after those who would drop it have forgotten it. Its
+// repeat's connection comes up only once the kernel asks again, a second later.
+TEST_CASE("a keyed repeat whose connection comes up after its window is not written") {
+  Deaf origin(false);
+  Listener discovery;
+  std::string config =
+      Router::Config(discovery.address(), Target("o1", origin.address(), "in_service", 0, "origin"));
+  config = Replaced(config, R"("name":"publish","effect":"single_shot",)",
+                    R"("name":"publish","effect":"guarded",)");
+  const std::size_t window = config.rfind(R"("window":5000000000)");
+  config.replace(window, 19, R"("window":300000000)");
+  InProcess router(config, [](Limits&) {});
+  Fd client = router.Connect();
+  client.Write(Publish("pkg", "p1", "body"));
+  Fd first = origin.Accept();
+  CHECK(first.Until("\r\n\r\nbody").starts_with("PUT /pkg "));
+  origin.Fill();
+  first.Close();  // it may have run
+  CHECK(client.Line().starts_with("SERVER_ERROR "));
+  origin.Drain();
+  client.Write("mn\r\n");
+  CHECK(client.Line() == "MN\r\n");
+  Fd other = router.Connect();
+  other.Write(Publish("pkg2", "p2", "body"));
+  Fd next = origin.Accept();  // the next command that comes whole is another's
+  for (std::string put = next.Until("\r\n\r\n"); put.empty(); put = next.Until("\r\n\r\n"))
+    next = origin.Accept();
+  CHECK(next.get() >= 0);
+}
+
 // ---- Discovery ----
 
 // Guards against one customer's settings in another's router: where lists are pushed nobody ever called.
