Give up at once what a client that is not read has left, and part from resting ones in order

Found by reading, each shown by a test over real connections that forces the order: - A client that is paused (pipeline full, answers untaken) was not read, so its close went unseen: its attempt stayed out for the request's whole time, and the commands behind it were begun one after the other (client_front.cpp Read, where reading is disabled). The same past the bytes that are thrown away after a last answer (Discard). Now the close is looked for, every 40 ms, and before any command is begun. - Commands whose close stood behind them as they were read were begun, and closed in the next turn. - A connection at rest was closed at once. A command that crossed the close was answered with a reset, and what the client had not yet taken of its answers went with it (Wake while draining, Trim, Expire). Now its sending is shut, what comes is thrown away, and it closes when the client does, or after 2 s; the process exits once its answers are taken.

Ruled out: a client that goes while its request is held, while its server is dialled, or between two attempts (each is closed or dropped in the turn that sees it).

--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -45,7 +45,8 @@
   Duration brief{std::chrono::milliseconds(50)};   // a client that was answered may rest this long at least
   Duration hurry{std::chrono::milliseconds(250)};  // in a full table, a silent one goes after this
   Duration hang_up{std::chrono::seconds(2)};       // after its last answer a client closes within this
-  Duration answer{std::chrono::milliseconds(500)};  // an answer begun goes on within this, or is spoilt
+  Duration gone_look{std::chrono::milliseconds(40)};  // one that is not read is looked at for its close
+  Duration answer{std::chrono::milliseconds(500)};    // an answer begun goes on within this, or is spoilt
   Duration settle{
       std::chrono::milliseconds(25)};         // what spoils a resting connection mostly comes this soon
   Duration forget{std::chrono::seconds(15)};  // a server gone for this long is forgotten
--- a/src/net/client_front.cpp
+++ b/src/net/client_front.cpp
@@ -146,11 +146,14 @@
 
 void ClientFront::Read(Client& s) {
   const std::uint64_t id = s.id;
+  // Guards against work for nobody: a client that has gone already is owed nothing, however much of what it
+  // sent before is still to be read.
+  if (PeerGone(bufferevent_getfd(s.buffer.get()))) return Close(id);
   while (!s.closing) {
     if (Full(s)) {
       s.paused = true;
       bufferevent_disable(s.buffer.get(), EV_READ);
-      return;
+      return LookForEnd(s);
     }
     std::size_t used = 0;
     Command command;
@@ -309,6 +312,18 @@
   }
 }
 
+// Guards against work for a client that has gone and is not read, so that nothing tells of its close: its
+// attempts are given up as those of any other.
+void ClientFront::LookForEnd(Client& s) {
+  loop_.deadlines().Drop(s.look);
+  s.look = loop_.deadlines().Set(loop_.Now() + limits_.gone_look, [this, id = s.id] {
+    Client& at = **clients_.Find(id);
+    at.look = {};
+    if (PeerGone(bufferevent_getfd(at.buffer.get()))) return Close(id);
+    if (at.paused || at.closing) LookForEnd(at);
+  });
+}
+
 void ClientFront::Wake(std::uint64_t id) {
   auto* held = clients_.Find(id);
   if (held == nullptr) return;
@@ -335,7 +350,7 @@
   // Guards against a close that crosses a command in the kernel: it would be reset, and the answers on
   // their way with it. That command is read and answered first.
   if ((draining_ || sending_away_) && s.used && Idle(s) && !Unread(bufferevent_getfd(s.buffer.get()))) {
-    return Close(id);
+    return Part(s);
   }
   Await(s);
 }
@@ -386,7 +401,7 @@
       continue;
     }
     ++counters_.made_way;
-    Close(s.id);
+    Part(s);
   }
 }
 
@@ -401,13 +416,20 @@
   }
   if (s.partial == Time(0)) {
     counters_.silent += !s.used;
-    return Close(id);
+    return Part(s);
   }
   ++counters_.silent;
   s.closing = true;
   Reply(s, "CLIENT_ERROR command not ended in time\r\n");
 }
 
+// Ends a connection at rest. Guards against a command that crosses the end: closing at once would answer it
+// with a reset, and what the other side has not taken yet of its answers would go with it.
+void ClientFront::Part(Client& s) {
+  s.closing = true;
+  HangUp(s);
+}
+
 // Ends a connection whose framing is lost, or that asked for it. Guards against errors that never arrive:
 // closing a socket with unread input sends a reset, which can destroy the answer on its way. So what still
 // comes is read and thrown away, the answers go out, the sending is shut, and the socket closes when the
@@ -443,6 +465,7 @@
   if (s.discarded <= limits_.discard) return;
   if (s.shut) return Close(s.id);
   event_del(s.discard.get());  // it is still owed an answer: the rest waits in the kernel
+  LookForEnd(s);
 }
 
 void ClientFront::Close(std::uint64_t id) {
@@ -451,6 +474,7 @@
   const std::unique_ptr<Client> s = std::move(*held);
   clients_.Remove(id);
   loop_.deadlines().Drop(s->deadline);
+  loop_.deadlines().Drop(s->look);
   Rouse(*s);
   s->discard.reset();
   s->buffer.reset();
@@ -502,10 +526,13 @@
 }
 
 // Looks again and again until two looks in a row, a short while apart, find nothing open: what was on its
-// way when the listener closed is still read and answered.
+// way when the listener closed is still read and answered, and what was answered is taken (a client that
+// takes nothing is closed after Limits::hang_up).
 void ClientFront::CheckDrained(bool quiet_before) {
   bool quiet = engine_.open_requests() == 0;
-  clients_.Each([&](std::uint64_t, auto& s) { quiet &= Idle(*s); });
+  clients_.Each([&](std::uint64_t, auto& s) {
+    quiet &= Idle(*s) && Untaken(bufferevent_getfd(s->buffer.get())) == 0;
+  });
   if (quiet && quiet_before) return drained_();
   loop_.deadlines().Set(loop_.Now() + std::chrono::milliseconds(25),
                         [this, quiet] { CheckDrained(quiet); });
--- a/src/net/client_front.h
+++ b/src/net/client_front.h
@@ -83,6 +83,7 @@
     std::size_t discarded = 0;
     RestQueue* queue = nullptr;                // where it rests; null: it does not
     std::list<std::uint64_t>::iterator place;  // in it
+    Deadlines::Id look;                        // of one that is not read: for its going
     bool returned = false;                     // has sent a command after a rest
     Time rested{0};                            // since when
     Deadlines::Id deadline;                    // for its next command, or for its own close
@@ -105,11 +106,13 @@
   Pending* PendingOf(std::uint64_t ticket, Client*& s);
   bool Full(const Client& s) const;
   void Wake(std::uint64_t id);
+  void LookForEnd(Client& s);
   void Await(Client& s);
   void Rest(Client& s);
   void Rouse(Client& s);
   void Trim(RestQueue& queue);
   void Expire(std::uint64_t id);
+  void Part(Client& s);
   void HangUp(Client& s);
   void Discard(Client& s);
   int WayRank(const Client& s, Time now) const;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -5,6 +5,9 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <linux/sockios.h>
+#include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -69,6 +72,18 @@
   return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+// Has the other side closed, or ended its sending? Tells it also while bytes that came before wait unread.
+inline bool PeerGone(evutil_socket_t fd) {
+  pollfd p{fd, POLLRDHUP, 0};
+  return ::poll(&p, 1, 0) == 1 && (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+// Bytes that were written and that the other side's kernel has not taken yet; 0 where that is not told.
+inline int Untaken(evutil_socket_t fd) {
+  int bytes = 0;
+  return ::ioctl(fd, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
 // All that a bufferevent has read, in one piece.
 inline std::string_view Gathered(bufferevent* b) {
   evbuffer* in = bufferevent_get_input(b);
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -48,6 +48,80 @@
 
 }  // namespace
 
+// ---- A client that goes ----
+
+// Guards against work for nobody: the close stands right behind the commands as they are read.
+TEST_CASE("commands whose client has closed behind them reach no server") {
+  Listener node, discovery;
+  InProcess router(Router::Config(discovery.address(), Target("s1", node.address(), "in_service")),
+                   [](Limits&) {});
+  Fd client = router.Connect(), other = router.Connect();
+  client.Write("mn\r\n");
+  CHECK(client.Line() == "MN\r\n");
+  router.Freeze();
+  client.Write(Read("k1", "a1") + Read("k2", "a2") + Publish("p", "a3", "body"));
+  client.Close();
+  router.Thaw();
+  other.Write(Read("k4", "a4"));
+  CHECK(node.Accept().Line().starts_with("mg k4 v Oa4"));  // the first to reach a server
+}
+
+// Guards against a close that goes unseen while its client is not read.
+TEST_CASE("a client that goes while it is not read has its attempts closed, and none begun") {
+  Listener node, discovery;
+  InProcess router(Router::Config(discovery.address(), Target("s1", node.address(), "in_service")),
+                   [](Limits& l) { l.pipeline = 1; });
+  Fd client = router.Connect(), other = router.Connect();
+  client.Write(Read("k1", "a1", 60000) + Read("k2", "a2", 60000) + Read("k3", "a3", 60000));
+  Fd attempt = node.Accept();
+  CHECK(attempt.Line().starts_with("mg k1 v Oa1"));  // the others wait behind it, unread
+  client.Close();
+  CHECK(attempt.Ended());  // it is given up a minute before its time
+  other.Write(Read("k4", "a4"));
+  CHECK(node.Accept().Line().starts_with("mg k4 v Oa4"));
+}
+
+TEST_CASE("a client that sends on past its last answer and goes has its attempts closed") {
+  Listener node, discovery;
+  InProcess router(Router::Config(discovery.address(), Target("s1", node.address(), "in_service")),
+                   [](Limits& l) { l.discard = 1000; });
+  Fd client = router.Connect();
+  client.Write(Read("k1", "a1", 60000) + "quit\r\n" + std::string(5000, 'x'));  // more than is thrown away
+  Fd attempt = node.Accept();
+  CHECK(attempt.Line().starts_with("mg k1 v Oa1"));
+  client.Write(std::string(5000, 'x'));
+  client.Close();
+  CHECK(attempt.Ended());
+}
+
+// ---- The end of a connection at rest, and of the process ----
+
+// Guards against answers that are lost behind a close: the client is slow to take them, and sends one
+// command more just as its connection ends.
+TEST_CASE("SIGTERM: answers that wait in the kernel arrive whole though a command crosses the close") {
+  Listener node;
+  Router router(Target("s1", node.address(), "in_service"));
+  Fd client(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  const int small = 4096;  // the answers wait on the router's side
+  REQUIRE(::setsockopt(client.get(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small) == 0);
+  client = router.Connect(std::move(client));
+  const std::string value(14000, 'v');  // more than the client's side holds, less than the router's
+  client.Write(Read("k", "a1"));
+  Fd attempt = node.Accept();
+  attempt.Line();
+  attempt.Write("VA 14000 Oa1\r\n" + value + "\r\n");
+  pollfd answered{client.get(), POLLIN, 0};
+  REQUIRE(::poll(&answered, 1, kPatienceMs) == 1);
+  REQUIRE(::kill(router.process.pid, SIGTERM) == 0);
+  CHECK_FALSE(router.process.err.Until(" stops; ").empty());
+  std::this_thread::sleep_for(100ms);  // the router ends the connection; later is as good
+  client.Write(Read("k", "late"));
+  CHECK(client.Line() == "VA 14000 Oa1\r\n");
+  CHECK(client.Exactly(value.size() + 2) == value + "\r\n");
+  CHECK(client.Ended());  // and the late one is its client's to send again
+  CHECK(router.process.Wait() == 0);
+}
+
 // ---- What was decided before a connection came up ----
 
 // Guards against a keyed write that goes out again after those who would drop it have forgotten it. Its
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -248,8 +248,8 @@
         targets + (targets.empty() ? "" : ",") + Target("o1", origin.address(), "in_service", 0, "origin");
     process = Start(Config(discovery.address(), with_origin, sockets), discovery.address());
   }
-  Fd Connect() const {
-    Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  Fd Connect() const { return Connect(Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))); }
+  Fd Connect(Fd fd) const {
     sockaddr_in at{};
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
