Let what the last turn put off end before the loop is freed

The leak checker's report names a bufferevent: a callback deferred to a later turn holds one that is freed, and the loop had stopped. A watch held for 3 s is answered there just at the stop; with 4 s it was not. Ruled out: the other connections (none defers). No memory is lost while it runs.

--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -23,7 +23,12 @@
 
 struct EventFree {
   void operator()(event* e) const { event_free(e); }
-  void operator()(event_base* b) const { event_base_free(b); }
+  // Guards against what the last turn left undone: a callback put off to a later turn holds on to its
+  // bufferevent. All that it could call is gone by now.
+  void operator()(event_base* b) const {
+    event_base_loop(b, EVLOOP_NONBLOCK);
+    event_base_free(b);
+  }
   // bufferevent_free leaves the closing to a later turn of the loop. An attempt that was given up must be
   // off its server before the next one of its request goes out, so the socket is closed here and now.
   void operator()(bufferevent* b) const {
