--- a/lab/world/cache_server.h
+++ b/lab/world/cache_server.h
@@ -1,6 +1,6 @@
 // An cache server: keeps values by key, answers reads from them and everything else with a miss.
-#ifndef BRASSWOOD_LAB_WORLD_EXECUTE_NODE_H_
-#define BRASSWOOD_LAB_WORLD_EXECUTE_NODE_H_
+#ifndef BRASSWOOD_LAB_WORLD_CACHE_SERVER_H_
+#define BRASSWOOD_LAB_WORLD_CACHE_SERVER_H_
 
 #include "core/ends.h"
 #include "lab/world/key_store.h"
@@ -34,4 +34,4 @@
 
 }  // namespace brasswood::lab
 
-#endif  // BRASSWOOD_LAB_WORLD_EXECUTE_NODE_H_
+#endif  // BRASSWOOD_LAB_WORLD_CACHE_SERVER_H_
--- a/src/net/attempt_pool.h
+++ b/src/net/attempt_pool.h
@@ -1,7 +1,7 @@
 // The back ends: attempts on kept connections, one at a time on each. CacheServerPool speaks memcache to
 // the cache servers, OriginClient HTTP to the origin; the connections are kept and bounded alike.
-#ifndef BRASSWOOD_NET_CLAIM_POOL_H_
-#define BRASSWOOD_NET_CLAIM_POOL_H_
+#ifndef BRASSWOOD_NET_ATTEMPT_POOL_H_
+#define BRASSWOOD_NET_ATTEMPT_POOL_H_
 
 #include <list>
 #include <memory>
@@ -141,4 +141,4 @@
 
 }  // namespace brasswood
 
-#endif  // BRASSWOOD_NET_CLAIM_POOL_H_
+#endif  // BRASSWOOD_NET_ATTEMPT_POOL_H_
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -72,8 +72,7 @@
     Await(Duration(0), "cannot connect");
     return;
   }
-  const std::string text = WriteGet(
-      address_, ListPath(fetch_ ? std::nullopt : rev_, ask_first_ || anew_ ? Duration(0) : Wait()));
+  const std::string text = WriteGet(address_, ListPath(fetch_ ? std::nullopt : rev_, Wait()));
   bufferevent_write(buffer_.get(), text.data(), text.size());
 }
 
