Tell the origin what is left of a request's time, not what its client first stated

Checked: attempts at cache servers state what is left (WriteAttempt); most further attempts are fetches after a miss, and WriteOriginAttempt (http.cpp) sent the client's labels as they arrived, 'd' with them. Ruled out: the engine's deadline (an attempt's time ends with its request's) and the dial (the time is taken as the first byte leaves).

Now one piece, LabelsWithin, serves both dialects; labels other than 'd' go out byte for byte (one without a value got a '=' before, a trailing comma was lost).

--- a/lab/faulty/main.cpp
+++ b/lab/faulty/main.cpp
@@ -173,7 +173,7 @@
     end.result = Result::kReset;
     const std::string origin = Origin();
     if (!s.Connect(origin)) return end;
-    s.Write(WriteOriginAttempt(origin, request));
+    s.Write(WriteOriginAttempt(origin, request, std::chrono::seconds(1)));
     HttpAnswer answer;
     if (s.Read([&](std::string_view in, std::size_t& used) {
           return ParseHttpAnswer(in, config_.limits.value, config_.limits, used, answer);
--- a/src/net/attempt_pool.cpp
+++ b/src/net/attempt_pool.cpp
@@ -405,9 +405,9 @@
   return ParseAttemptReply(in, *errand.request, limits(), used, end);
 }
 
-std::string OriginClient::Write(const Errand& errand, const Server& server, Duration) const {
+std::string OriginClient::Write(const Errand& errand, const Server& server, Duration left) const {
   if (!errand.request) return WriteGet(server.endpoint, errand.load ? "/-/load" : "/-/healthy");
-  return WriteOriginAttempt(server.endpoint, *errand.request);
+  return WriteOriginAttempt(server.endpoint, *errand.request, left);
 }
 
 Parsed OriginClient::ParseHead(std::string_view in, const Errand&, std::size_t& used, AttemptEnd& end,
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "protocol/labels.h"
 #include "protocol/meta.h"
 
 namespace brasswood {
@@ -162,13 +163,13 @@
   return out;
 }
 
-std::string WriteOriginAttempt(std::string_view host, const RequestContent& request) {
+std::string WriteOriginAttempt(std::string_view host, const RequestContent& request, Duration left) {
   std::string out = request.write ? "PUT " : "GET ";
   out.append(KeyPath(request.key)).append(" HTTP/1.1\r\nHost: ").append(host);
   out.append("\r\nX-Txn: ")
       .append(request.id)
       .append("\r\nX-Labels: ")
-      .append(request.labels)
+      .append(LabelsWithin(request.labels, left))
       .append("\r\n");
   if (request.write)
     out.append("Content-Length: ").append(std::to_string(request.value.size())).append("\r\n");
--- a/src/protocol/http.h
+++ b/src/protocol/http.h
@@ -34,8 +34,8 @@
 
 std::string WriteGet(std::string_view host, std::string_view path);
 
-// An attempt as the origin takes it.
-std::string WriteOriginAttempt(std::string_view host, const RequestContent& request);
+// An attempt as the origin takes it. `left`: how long the router will wait, which takes the place of `d`.
+std::string WriteOriginAttempt(std::string_view host, const RequestContent& request, Duration left);
 
 // What the origin's answer to an attempt, or to a probe, says of it.
 AttemptEnd ReadOriginAnswer(HttpAnswer answer, const RequestContent& request);
--- a/src/protocol/labels.h
+++ b/src/protocol/labels.h
@@ -2,8 +2,15 @@
 #ifndef BRASSWOOD_PROTOCOL_LABELS_H_
 #define BRASSWOOD_PROTOCOL_LABELS_H_
 
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
 #include <string_view>
 
+#include "base/clock.h"
+
 namespace brasswood {
 
 // Calls `each(name, value)` for each of them, in their order.
@@ -18,6 +25,23 @@
   }
 }
 
+// The labels as an attempt tells them: as they arrived, but for `d`, which says how long the router will
+// wait from now on. Guards against work at a server or at the origin for an answer that nobody waits for
+// any more.
+inline std::string LabelsWithin(std::string_view labels, Duration left) {
+  const auto ms =
+      std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(left).count());
+  std::string out;
+  std::size_t from = 0;
+  EachLabel(labels, [&](std::string_view name, std::string_view value) {
+    if (name != "d" || value.empty()) return;
+    const auto at = static_cast<std::size_t>(value.data() - labels.data());
+    out.append(labels.substr(from, at - from)).append(std::to_string(ms));
+    from = at + value.size();
+  });
+  return out.append(labels.substr(from));
+}
+
 }  // namespace brasswood
 
 #endif  // BRASSWOOD_PROTOCOL_LABELS_H_
--- a/src/protocol/meta.cpp
+++ b/src/protocol/meta.cpp
@@ -156,18 +156,7 @@
 }
 
 std::string WriteAttempt(const RequestContent& request, Duration left) {
-  const auto ms =
-      std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(left).count());
-  std::string labels;
-  EachLabel(request.labels, [&](std::string_view name, std::string_view value) {
-    if (!labels.empty()) labels += ',';
-    labels.append(name).append("=");
-    if (name == "d") {
-      labels += std::to_string(ms);
-    } else {
-      labels += value;
-    }
-  });
+  const std::string labels = LabelsWithin(request.labels, left);
   std::string out = request.write ? "ms " + request.key + " " + std::to_string(request.value.size())
                                   : "mg " + request.key + " v";
   out.append(" O").append(request.id);
