Share a discovery that is short of room, so that no router goes unheard by chance

Ruled out: the speed of the machine (no process was late to listen; the refusals are discovery's own) and the emulator's bucket (played free of I/O with the same result).

At fault: list_calls.h. A router that keeps losing by chance waited longer and longer (wait_ * 2), while the next watches of those that had been told came back as soon as its own calls and took the room; 2.5% of such starts left one unheard for over 6 s, after which a change counts as told. Now who was told lately gives way for up to twice the fleet's spread, within the bound as before, and who was not tries twice as often, four times, before it slows down.

--- a/src/recovery/list_calls.h
+++ b/src/recovery/list_calls.h
@@ -3,9 +3,14 @@
 //
 // The platform counts a change as told kTold after discovery had it and could be reached, whatever became
 // of the calls meanwhile. Against that stand hundreds of routers that start, or lose discovery, together:
-// their calls have to be spread, or discovery refuses them all. So waits grow, but never past kMost, which
-// leaves room for three calls within kTold; and while the list was known to be true less than kTold ago,
-// the next call comes before that time is over, as long as there is any of it left to halve.
+// their calls have to be spread, or discovery refuses them all. So waits are as long as the fleet is large,
+// but never past kMost, which leaves room for three calls within kTold.
+//
+// Where discovery is short of room, the fleet shares it. A router that heard its word a moment ago gives
+// way to those that have not: it calls again before the list it holds is kTold old, but no sooner than it
+// has to. One that has not heard it tries twice as often, kHaste times: who kept losing by chance used to
+// wait longer and longer, while the others' next watches took the room, and a few of two dozen heard
+// nothing for over kTold.
 //
 // Where lists are pushed, an agent beside this router has them: it serves this router alone, and what it
 // has counts as told at once. Nothing is to be spread there, and a call that failed is made again well
@@ -29,36 +34,38 @@
       : agent_(s.list_agent),
         spread_(std::min<Duration>(
             {std::chrono::milliseconds(50) * std::max(1, s.balancers), s.rules.ask_within / 3, kMost})),
-        first_wait_(std::max(kFirst, spread_)),
-        agent_wait_(std::clamp<Duration>(s.rules.drain_grace / 4, kAgentLeast, kAgentMost)),
-        wait_(first_wait_) {}
+        wait_(std::max(kFirst, spread_)),
+        agent_wait_(std::clamp<Duration>(s.rules.drain_grace / 4, kAgentLeast, kAgentMost)) {}
 
   // Until the first call of this process. `any`: evenly drawn from 0 to 1, as everywhere here.
   Duration First(double any) const { return agent_ ? Duration(0) : FromSeconds(Seconds(spread_) * any); }
   // Discovery has said its word: the list is true as of now.
   void Told(Time now) {
     known_ = now;
-    wait_ = first_wait_;
+    in_vain_ = 0;
   }
   // Until the next call after one that came to nothing.
   Duration Again(Time now, double any) {
     const double part = 0.5 + 0.5 * any;
     if (agent_) return FromSeconds(Seconds(agent_wait_) * part);
-    Duration wait = wait_;
-    wait_ = std::min(wait_ * 2, kMost);
+    Duration wait = in_vain_++ < kHaste ? wait_ / 2 : kMost;
     const Duration left = std::exchange(known_, Time(-kTold)) + kTold - now;
-    if (left > Duration(0)) wait = std::min(wait, std::max(first_wait_ / 4, left / 2));
+    if (left > Duration(0)) {
+      wait = std::clamp<Duration>(left / 2, wait_ / 4, std::min(kMost, std::max(wait_, spread_ * 2)));
+    }
     return FromSeconds(Seconds(wait) * part);
   }
 
  private:
   static constexpr Duration kMost = std::chrono::seconds(2);   // between two calls
-  static constexpr Duration kFirst = std::chrono::seconds(1);  // the first such wait, at least
+  static constexpr Duration kFirst = std::chrono::seconds(1);  // a few routers wait so long, too
+  static constexpr int kHaste = 4;
   static constexpr Duration kAgentLeast = std::chrono::milliseconds(25);
   static constexpr Duration kAgentMost = std::chrono::milliseconds(250);
 
   bool agent_;
-  Duration spread_, first_wait_, agent_wait_, wait_;
+  Duration spread_, wait_, agent_wait_;
+  int in_vain_ = 0;     // calls since discovery's last word
   Time known_{-kTold};  // when the list was last known to be true; long ago once a wait has made up for it
 };
 
--- a/tests/sight/parts_test.cpp
+++ b/tests/sight/parts_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <numeric>
 #include <random>
 #include <vector>
@@ -207,6 +208,54 @@
   EXPECT_LT(std::accumulate(calls.begin(), calls.end(), 0), kRouters * 10);
 }
 
+// Discovery has room for a part of the calls of a fleet that starts together, those of the watches that
+// follow among them. No router hears its first word later than a change counts as told.
+TEST(ListCalls, AFleetAtADiscoveryShortOfRoomIsToldWhole) {
+  struct Case {
+    int routers;
+    double room;  // calls a second
+  };
+  const brasswood::Limits limits;
+  for (const auto& [routers, room] : {Case{24, 20}, {100, 60}, {300, 200}}) {
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+      std::mt19937_64 random(seed);
+      const auto any = [&] { return std::uniform_real_distribution<double>(0, 1)(random); };
+      Settings s;
+      s.balancers = routers;
+      std::vector<ListCalls> own(static_cast<std::size_t>(routers), ListCalls(s));
+      std::vector<bool> told(own.size()), watching(own.size());
+      std::multimap<Time, std::size_t> next;  // who calls, or has its watch answered
+      for (std::size_t r = 0; r < own.size(); ++r) next.emplace(own[r].First(any()), r);
+      double left = 2;
+      Time filled(0);
+      std::size_t to_tell = own.size();
+      while (to_tell > 0) {
+        const auto [now, r] = *next.begin();
+        next.erase(next.begin());
+        if (watching[r]) own[r].Told(now);  // and calls again at once
+        watching[r] = false;
+        left = std::min(std::max(1.0, room / 10), left + room * Seconds(now - filled));
+        filled = now;
+        if (left < 1) {
+          next.emplace(now + own[r].Again(now, any()), r);
+          continue;
+        }
+        left -= 1;
+        to_tell -= !told[r];
+        if (!told[r]) {
+          own[r].Told(now);
+          next.emplace(now, r);
+        } else {
+          watching[r] = true;
+          next.emplace(now + limits.watch - FromSeconds(Seconds(limits.watch_spread) * any()), r);
+        }
+        told[r] = true;
+        ASSERT_LE(now, ListCalls::kTold) << routers << " routers, seed " << seed;
+      }
+    }
+  }
+}
+
 TEST(ListCalls, AnAgentOfOnesOwnIsCalledAtOnceAndAgainWellWithinADrainsGrace) {
   Settings s;
   s.balancers = 300;
