Hold signals back while the process starts, so that a new configuration does not end it

Found by reading for moments in which something is still owed: a restart together with a new configuration. A SIGHUP, SIGTERM or SIGUSR1 that came before its handler was there (main.cpp, after the configuration, the list and kept state) met the default and ended the process: with SIGHUP that is a crash.

Now the four are blocked first thing and released once the front listens; those that came meanwhile are answered then. The test holds the process in the middle of its start, its configuration being a pipe, and sends SIGHUP and SIGTERM there; without the mend the process is dead before it listens.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,7 +1,10 @@
 // brasswood: one real router. Wiring and signals only.
-#include <csignal>
+#include <pthread.h>
+#include <signal.h>
+
 #include <cstdlib>
 #include <exception>
+#include <functional>
 #include <iostream>
 #include <memory>
 #include <optional>
@@ -22,7 +25,25 @@
 
 namespace {
 
-void Run(const brasswood::Config& config) {
+// The signals that are answered, held back until there is something to answer them. Guards against one that
+// comes while the process still starts (a new configuration for a fleet that is being restarted): by
+// default it would end the process.
+class HeldSignals {
+ public:
+  HeldSignals() {
+    sigemptyset(&held_);
+    for (const int number : {SIGHUP, SIGTERM, SIGINT, SIGUSR1}) sigaddset(&held_, number);
+    pthread_sigmask(SIG_BLOCK, &held_, nullptr);
+  }
+  // From now on they come, those that came before at once. Threads begun before never get any.
+  void Release() { pthread_sigmask(SIG_UNBLOCK, &held_, nullptr); }
+
+ private:
+  sigset_t held_;
+};
+
+// `ready` is called once every signal is answered.
+void Run(const brasswood::Config& config, const std::function<void()>& ready) {
   using namespace brasswood;
   Loop loop;
   Counters counters;
@@ -111,6 +132,7 @@
   loop.OnSignal(SIGINT, stop);
   LogLine(Level::kInfo) << config.name << " listens on "
                         << config.listen.substr(0, config.listen.rfind(':') + 1) << front.port();
+  ready();
   loop.Run();
   LogLine(Level::kInfo) << counters;
 }
@@ -118,12 +140,13 @@
 }  // namespace
 
 int main() {
+  HeldSignals signals;
   const char* level = std::getenv("BRASSWOOD_LOG");
   brasswood::SetLog(std::cerr,
                     brasswood::ParseLevel(level == nullptr ? "" : level).value_or(brasswood::Level::kInfo));
-  std::signal(SIGPIPE, SIG_IGN);
+  signal(SIGPIPE, SIG_IGN);
   try {
-    Run(brasswood::LoadConfig());
+    Run(brasswood::LoadConfig(), [&signals] { signals.Release(); });
     return 0;
   } catch (const std::exception& e) {
     std::cerr << "brasswood: " << e.what() << '\n';
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -1,6 +1,8 @@
 // What is still owed when something ends: each bad order is forced by peers that hold, release and reset at
 // a named point, never by a sleep.
+#include <fcntl.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
 
 #include <catch2/catch.hpp>
 #include <filesystem>
@@ -90,6 +92,38 @@
   CHECK(attempt.Ended());
 }
 
+// ---- The start of a process, while signals come ----
+
+// Guards against a process that a new configuration, or its planned end, meets in the middle of its start:
+// it is held there, reading its configuration from a pipe.
+TEST_CASE("a signal that comes while the router still starts is answered once it has started") {
+  for (const int number : {SIGHUP, SIGTERM}) {
+    INFO("signal " << number);
+    Listener before, after;
+    const std::string path = Temporary();
+    ::unlink(path.c_str());
+    REQUIRE(::mkfifo(path.c_str(), 0600) == 0);
+    Process router = Launch(path);
+    router.path = path;
+    Fd pipe(::open(path.c_str(), O_WRONLY | O_CLOEXEC));  // once the router reads it
+    ::unlink(path.c_str());
+    std::ofstream(path) << Router::Config(after.address(), "");
+    REQUIRE(::kill(router.pid, number) == 0);
+    const std::string config = Router::Config(before.address(), "");
+    REQUIRE(::write(pipe.get(), config.data(), config.size()) == static_cast<ssize_t>(config.size()));
+    pipe.Close();
+    AwaitStart(router);
+    REQUIRE_FALSE(router.listen.empty());
+    if (number == SIGHUP) {
+      Fd watch = after.Accept();  // the configuration was read again, and its discovery is called
+      CHECK(WatchCall(watch).starts_with("GET /api/targets HTTP/1.1\r\n"));
+    } else {
+      CHECK_FALSE(router.err.Until(" stops; ").empty());
+      CHECK(router.Wait() == 0);
+    }
+  }
+}
+
 // ---- The end of a connection at rest, and of the process ----
 
 // Guards against answers that are lost behind a close: the client is slow to take them, and sends one
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -191,17 +191,12 @@
   }
 };
 
-// `more`: further variables, "NAME=value".
-inline Process Start(const std::string& config, const std::string& discovery = "",
-                     const std::vector<std::string>& more = {}) {
-  char path[] = "/tmp/brasswood-test-XXXXXX";
-  const int file = ::mkstemp(path);
-  REQUIRE(file >= 0);
-  REQUIRE(::write(file, config.data(), config.size()) == static_cast<ssize_t>(config.size()));
-  ::close(file);
+// The program, begun with the configuration at that path. `more`: further variables, "NAME=value".
+inline Process Launch(const std::string& path, const std::string& discovery = "",
+                      const std::vector<std::string>& more = {}) {
   int err[2];
   REQUIRE(::pipe2(err, O_CLOEXEC) == 0);
-  const std::string variable = std::string("PROXY_CONFIG=") + path, start = "PROXY_DISCOVERY=" + discovery;
+  const std::string variable = "PROXY_CONFIG=" + path, start = "PROXY_DISCOVERY=" + discovery;
   Process p;
   p.path = path;
   p.pid = ::fork();
@@ -216,6 +211,11 @@
   }
   ::close(err[1]);
   p.err = Fd(err[0]);
+  return p;
+}
+
+// Until it listens, or says why it will not.
+inline void AwaitStart(Process& p) {
   for (std::string line = p.err.Until("\n"); !line.empty(); line = p.err.Until("\n")) {
     p.said += line;
     if (const std::size_t door = line.find("operators' door on "); door != line.npos) {
@@ -231,6 +231,22 @@
       break;
     }
   }
+}
+
+inline std::string Temporary() {
+  char path[] = "/tmp/brasswood-test-XXXXXX";
+  const int file = ::mkstemp(path);
+  REQUIRE(file >= 0);
+  ::close(file);
+  return path;
+}
+
+inline Process Start(const std::string& config, const std::string& discovery = "",
+                     const std::vector<std::string>& more = {}) {
+  const std::string path = Temporary();
+  std::ofstream(path) << config;
+  Process p = Launch(path, discovery, more);
+  AwaitStart(p);
   return p;
 }
 
