Read all JSON without a stack of its depth: a configuration could end a router that serves

Found by reading what SIGHUP sets off: a configuration torn or replaced by something deeply nested was read level by level (config.cpp, settings.cpp, keeper.cpp) and exhausted the stack; the router that served was gone with one that was only asked to read a file. Lists had been read the safe way; ReadJson is now the one way for all four.

Tests: a million brackets at the start are one plain line and exit 1, and on SIGHUP one log line while the old watch goes on.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -115,7 +115,7 @@
 Config ReadConfig(std::string_view json, std::string_view name, std::string_view listen,
                   std::string_view discovery, std::string_view admin) {
   rapidjson::Document in;
-  in.Parse(json.data(), json.size());
+  ReadJson(json, in);
   if (in.HasParseError()) {
     throw BadConfig(std::string("configuration: ") + rapidjson::GetParseError_En(in.GetParseError()) +
                     " (at byte " + std::to_string(in.GetErrorOffset()) + ")");
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <cstdint>
 
+#include "config/json.h"
+
 namespace brasswood {
 namespace {
 
@@ -149,7 +151,7 @@
 
 SettingsRead ReadSettings(std::string_view json) {
   rapidjson::Document document;
-  document.Parse(json.data(), json.size());
+  ReadJson(json, document);
   return ReadSettings(document.HasParseError() ? kNothing : static_cast<const Value&>(document));
 }
 
--- a/src/protocol/discovery.cpp
+++ b/src/protocol/discovery.cpp
@@ -98,8 +98,7 @@
 std::optional<ServerList> ReadServerList(std::string_view json, const Names& names, const Limits& limits,
                                          std::string& why) {
   rapidjson::Document document;
-  document.Parse<rapidjson::kParseIterativeFlag>(json.data(),
-                                                 json.size());  // no depth can exhaust the stack
+  ReadJson(json, document);
   if (document.HasParseError()) {
     why = "not JSON";
     return std::nullopt;
--- a/src/state/keeper.cpp
+++ b/src/state/keeper.cpp
@@ -44,7 +44,7 @@
 StateSettings ReadStateSettings(std::string_view json) {
   const auto bad = [](const std::string& what) { return std::runtime_error("state settings: " + what); };
   rapidjson::Document d;
-  d.Parse(json.data(), json.size());
+  ReadJson(json, d);
   if (d.HasParseError() || !d.IsObject()) throw bad("not a JSON object");
   const auto* state = FindField(d, "state");
   if (state == nullptr || !state->IsObject()) throw bad("\"state\" is missing or not an object");
--- a/tests/net/router_test.cpp
+++ b/tests/net/router_test.cpp
@@ -415,8 +415,11 @@
   client.Write(Read("k", "a1"));
   Fd attempt = node.Accept();
   attempt.Line();
-  router.process.Reload("{ not JSON");  // refused in one line, and the old watch goes on
-  CHECK_FALSE(router.process.err.Until("configuration kept as it was").empty());
+  // Refused in one line each, and the old watch goes on.
+  for (const std::string& bad : {std::string("{ not JSON"), std::string(1000000, '[')}) {
+    router.process.Reload(bad);
+    CHECK_FALSE(router.process.err.Until("configuration kept as it was").empty());
+  }
   old.Write(Http(List(2, false, "")));
   CHECK(WatchCall(old).starts_with("GET /api/targets?since=2&"));
   // PROXY_DISCOVERY still names the old address. Its call is out, and it never answers it.
@@ -547,6 +550,9 @@
   Process p = Start(R"({"name":"n1","listen":"nowhere"})");
   CHECK(p.listen == "brasswood: configuration: \"listen\" is not an address and port: nowhere\n");
   CHECK(p.Wait() == 1);
+  Process deep = Start(std::string(1000000, '['));  // reading it level by level would exhaust the stack
+  CHECK(deep.listen.starts_with("brasswood: configuration: "));
+  CHECK(deep.Wait() == 1);
 }
 
 TEST_CASE("a large value goes on to its client as it comes, and a cut one ends the connection") {
