Write no second copy of a request that has its answer, where settings allow two at once

Followed one id through the debug log: the second copy's connection was still coming up when the first one was answered, and was written when it came up, up to 0.7 s later. Ruled out: clients that had gone (their attempts are closed at once) and a late list.

At fault: Engine::MayWrite (engine.cpp) looked at drain, address, window and time where the first byte leaves, not at the request itself; no customer's site allows second copies, so nothing had shown it. One look more, in the same place; the connection is sound and rests. The test holds the second copy's connection back until the answer is out; it fails without the mend every time.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -369,6 +369,9 @@
 bool Engine::MayWrite(AttemptId id, const std::string& endpoint) const {
   const Attempt* attempt = attempts_.Find(id);
   if (attempt == nullptr) return false;
+  // Where two attempts may be out at once, the other one may have been answered since.
+  const Request* request = requests_.Find(attempt->request);
+  if (request == nullptr || request->ended) return false;
   const Server& s = servers_[attempt->server];
   const Time now = now_();
   const bool drained =
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -23,6 +23,23 @@
   return text.replace(at, from.size(), to);
 }
 
+// Until somebody's connection to that address is coming up, as the kernel's table says.
+void AwaitDial(const std::string& address) {
+  char port[8];
+  std::snprintf(port, sizeof port, ":%04X", std::stoi(address.substr(address.rfind(':') + 1)));
+  const auto patience = std::chrono::steady_clock::now() + std::chrono::milliseconds(kPatienceMs);
+  while (std::chrono::steady_clock::now() < patience) {
+    std::ifstream table("/proc/net/tcp");
+    std::string slot, local, remote, state;
+    for (std::string line; std::getline(table, line);) {
+      std::istringstream(line) >> slot >> local >> remote >> state;
+      if (remote.ends_with(port) && state == "02") return;
+    }
+    std::this_thread::sleep_for(1ms);
+  }
+  throw std::runtime_error("nobody connects to " + address);
+}
+
 // A listener whose queue is full: connections to it never come up until it accepts.
 class Deaf {
  public:
@@ -31,6 +48,7 @@
     if (now) Fill();
   }
   const std::string& address() const { return at_.address(); }
+  int get() const { return at_.get(); }
   Fd Accept() const { return at_.Accept(); }
   void Fill() { fill_ = ConnectTo(at_.address()); }
   // From now on it hears: what filled its queue goes.
@@ -181,6 +199,63 @@
   CHECK(next.Until("\r\n\r\n").starts_with("PUT /pkg2 "));  // nothing of the other was written
 }
 
+// Guards against a second copy that begins after the answer, where settings allow two at once: its
+// connection was still coming up when the first one was answered.
+TEST_CASE("a second copy whose connection comes up after the final answer is not written") {
+  Listener node, discovery;
+  Deaf other(false);
+  std::string config =
+      Router::Config(discovery.address(), Target("s1", node.address(), "in_service") + "," +
+                                              Target("s2", other.address(), "in_service"));
+  config = Replaced(config, R"("cancel":true,)", R"("cancel":true,"parallel_tries":true,)");
+  InProcess router(config, [](Limits& l) { l.idle = 50ms; });
+  Fd client = router.Connect();
+  std::vector<std::pair<Fd, bool>> attempts;  // at the node, or at the other
+  bool hears = true;                          // the other
+  // The next attempt's id, and where its connection stands in `attempts`.
+  const auto next = [&] {
+    for (;;) {
+      std::vector<pollfd> polled = {{node.get(), POLLIN, 0}, {hears ? other.get() : -1, POLLIN, 0}};
+      for (const auto& [fd, at_node] : attempts) polled.push_back({fd.get(), POLLIN, 0});
+      if (::poll(polled.data(), polled.size(), kPatienceMs) < 1) throw std::runtime_error("no attempt");
+      for (std::size_t i = polled.size(); i-- > 2;) {
+        if (polled[i].revents == 0) continue;
+        const std::string line = attempts[i - 2].first.Line();
+        if (!line.empty()) return std::pair(line.substr(line.find(" O") + 2, 3), i - 2);
+        attempts.erase(attempts.begin() + static_cast<std::ptrdiff_t>(i - 2));
+      }
+      if (polled[0].revents != 0) attempts.emplace_back(node.Accept(), true);
+      if (polled[1].revents != 0) attempts.emplace_back(other.Accept(), false);
+    }
+  };
+  // What answers take has to be known before there are second copies; and a key has to be at the node.
+  std::string key;
+  for (int i = 0; i < 100 && (i < 40 || key.empty()); ++i) {
+    const std::string id = std::to_string(100 + i);
+    client.Write(Read("k" + id, id));
+    for (pollfd answered{client.get(), POLLIN, 0}; ::poll(&answered, 1, 0) == 0;) {
+      const auto [asked, at] = next();
+      attempts[at].first.Write("VA 1 O" + asked + "\r\nx\r\n");
+      if (asked == id && attempts[at].second) key = "k" + id;
+      if (asked == id) break;
+    }
+    CHECK(client.Until("x\r\n") == "VA 1 O" + id + "\r\nx\r\n");
+  }
+  REQUIRE_FALSE(key.empty());
+  hears = false;
+  other.Fill();
+  std::erase_if(attempts, [](const auto& a) { return !a.second; });
+  client.Write(Read(key, "999"));
+  const auto [asked, at] = next();
+  CHECK(asked == "999");
+  AwaitDial(other.address());  // the second copy's connection is on its way
+  attempts[at].first.Write("VA 1 O999\r\nx\r\n");
+  CHECK(client.Until("x\r\n") == "VA 1 O999\r\nx\r\n");
+  other.Drain();
+  Fd late = other.Accept();
+  CHECK(late.Ended());  // nothing was written on it
+}
+
 // ---- Discovery ----
 
 // Guards against one customer's settings in another's router: where lists are pushed nobody ever called.
