Let the test of a voided run look for its own reason among others

The test took the first reason for the planted one (fleet_test.cpp). It now looks for each planted reason by name and checks as well that it is not there unplanted, which the old one did not.

--- a/tests/lab/fleet_test.cpp
+++ b/tests/lab/fleet_test.cpp
@@ -1,5 +1,6 @@
 // 24 processes of the router with faults put between them and their machines: judged by what the emulator
 // saw, never by the routers' word. Each row also shows that its fault was really there.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 #include <set>
@@ -175,18 +176,21 @@
 
 TEST_CASE("an emulator that uses up its core voids the run") {
   Folder folder;
-  // 90 requests a second is nothing: what it costs is planted.
+  // 90 requests a second is nothing: what it costs is planted. Whatever else voids it on a busy machine
+  // stands beside that.
   const Outcome outcome = Play(FleetSite(""), {BRASSWOOD_FAULTY, "honest"}, folder.path);
-  Outcome planted = outcome;
-  planted.void_because.clear();
-  planted.truth.world.cpu = std::chrono::seconds(10);
-  Weigh(planted, {1.0, 3.0});
-  REQUIRE_FALSE(planted.void_because.empty());
-  CHECK_THAT(planted.void_because[0], Catch::Contains("the emulator used"));
-  planted = outcome;
-  planted.void_because.clear();
-  Weigh(planted, {0.001, 3.0});
-  CHECK_THAT(planted.void_because.back(), Catch::Contains("stood idle"));
+  const auto says = [&](Duration cpu, double idle, const char* what) {
+    Outcome planted = outcome;
+    planted.void_because.clear();
+    planted.truth.world.cpu = cpu;
+    Weigh(planted, {idle, 3.0});
+    return std::count_if(planted.void_because.begin(), planted.void_because.end(),
+                         [&](const std::string& why) { return why.find(what) != why.npos; });
+  };
+  CHECK(says(std::chrono::seconds(10), 1.0, "the emulator used") == 1);
+  CHECK(says(std::chrono::seconds(1), 1.0, "the emulator used") == 0);
+  CHECK(says(std::chrono::seconds(1), 0.001, "stood idle") == 1);
+  CHECK(says(std::chrono::seconds(1), 1.0, "stood idle") == 0);
 }
 
 TEST_CASE("how evenly nodes are used is told from the truth") {
