Keep a client in a full table until it has taken its answer

Found by reading what MakeRoom still owes: among resting clients it looked for commands that had arrived, not for answers that wait in the kernel for a client that takes them slowly. Closing that client sends no reset by itself; a command that crosses the close does, and the rest of the answer goes with it (client_front.cpp, MakeRoom). Connections that end in order (Part) were safe already; making way in a full table closes at once.

Such a client is passed over now; if it takes nothing it parts like any other at rest.

--- a/src/net/client_front.cpp
+++ b/src/net/client_front.cpp
@@ -72,7 +72,8 @@
 
 // Guards against clients' kept connections filling the table: what a full router does not accept waits
 // unread in the kernel, where it counts as taken. Among equals the one idle for longest makes way; should
-// that cross a command that is on its way, its client sends it again. One that is here already is seen.
+// that cross a command that is on its way, its client sends it again. One that is here already is seen. So
+// is an answer that its client has not taken yet: a command that crosses the close would cost it that.
 void ClientFront::MakeRoom() {
   if (clients_.size() < limits_.clients) return;
   const Time now = loop_.Now();
@@ -81,7 +82,8 @@
   clients_.Each([&](std::uint64_t id, auto& s) {
     const std::pair<int, Time> at{WayRank(*s, now), s->active};
     if (at.first < 0 || at >= least) return;
-    if (at.first > 0 && Unread(bufferevent_getfd(s->buffer.get()))) return;
+    const evutil_socket_t fd = bufferevent_getfd(s->buffer.get());
+    if ((at.first > 0 && Unread(fd)) || Untaken(fd) != 0) return;
     chosen = id;
     least = at;
   });
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -40,6 +40,28 @@
   throw std::runtime_error("nobody connects to " + address);
 }
 
+// Of a client that takes little at a time: more than its side holds, less than the router's.
+const std::string kAnswerThatWaits = "VA 14000 Oa1\r\n" + std::string(14000, 'v') + "\r\n";
+
+Fd SlowClient() {
+  Fd client(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  const int small = 4096;
+  REQUIRE(::setsockopt(client.get(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small) == 0);
+  return client;
+}
+
+// Asked for by that client, it has left the router's program and waits in the router's kernel. Returns the
+// attempt's connection.
+Fd AnswerThatWaits(const Fd& client, const Listener& node) {
+  client.Write(Read("k", "a1"));
+  Fd attempt = node.Accept();
+  attempt.Line();
+  attempt.Write(kAnswerThatWaits);
+  pollfd answered{client.get(), POLLIN, 0};
+  REQUIRE(::poll(&answered, 1, kPatienceMs) == 1);
+  return attempt;
+}
+
 // A listener whose queue is full: connections to it never come up until it accepts.
 class Deaf {
  public:
@@ -149,27 +171,34 @@
 TEST_CASE("SIGTERM: answers that wait in the kernel arrive whole though a command crosses the close") {
   Listener node;
   Router router(Target("s1", node.address(), "in_service"));
-  Fd client(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-  const int small = 4096;  // the answers wait on the router's side
-  REQUIRE(::setsockopt(client.get(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small) == 0);
+  Fd client = SlowClient();
   client = ConnectTo(router.process.listen, std::move(client));
-  const std::string value(14000, 'v');  // more than the client's side holds, less than the router's
-  client.Write(Read("k", "a1"));
-  Fd attempt = node.Accept();
-  attempt.Line();
-  attempt.Write("VA 14000 Oa1\r\n" + value + "\r\n");
-  pollfd answered{client.get(), POLLIN, 0};
-  REQUIRE(::poll(&answered, 1, kPatienceMs) == 1);
+  Fd attempt = AnswerThatWaits(client, node);
   REQUIRE(::kill(router.process.pid, SIGTERM) == 0);
   CHECK_FALSE(router.process.err.Until(" stops; ").empty());
   std::this_thread::sleep_for(100ms);  // the router ends the connection; later is as good
   client.Write(Read("k", "late"));
-  CHECK(client.Line() == "VA 14000 Oa1\r\n");
-  CHECK(client.Exactly(value.size() + 2) == value + "\r\n");
+  CHECK(client.Until("v\r\n") == kAnswerThatWaits);
   CHECK(client.Ended());  // and the late one is its client's to send again
   CHECK(router.process.Wait() == 0);
 }
 
+// Guards against answers that are lost as their connection makes way in a full table, for a command that
+// crosses the close.
+TEST_CASE("a full table: a client that has not taken its answer yet does not make way") {
+  Listener node, discovery;
+  InProcess router(Router::Config(discovery.address(), Target("s1", node.address(), "in_service")),
+                   [](Limits& l) { l.clients = 2; });
+  Fd client = ConnectTo(router.address(), SlowClient());
+  Fd attempt = AnswerThatWaits(client, node);
+  Fd other = router.Connect();
+  other.Write("mn\r\n");
+  CHECK(other.Line() == "MN\r\n");  // room was looked for as it was let in
+  client.Write("mn\r\n");
+  CHECK(client.Until("v\r\n") == kAnswerThatWaits);
+  CHECK(client.Line() == "MN\r\n");
+}
+
 // ---- What was decided before a connection came up ----
 
 // Guards against a keyed write that goes out again after those who would drop it have forgotten it. Its
--- a/tests/net/in_process.h
+++ b/tests/net/in_process.h
@@ -34,7 +34,8 @@
     stop_ = true;
     thread_.join();
   }
-  Fd Connect() const { return ConnectTo("127.0.0.1:" + std::to_string(port_)); }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  Fd Connect() const { return ConnectTo(address()); }
   // While this holds, the router's loop does nothing: all that happens meanwhile it finds in one turn.
   void Freeze() {
     frozen_ = true;
