Hold signals back again once the work is done, so that a second word does not kill the exit

Seen while tracing a test that ended with 'stopped with -15' on a machine at load 100: a router that had been told to end, had answered all and logged its counters, was ended by the next SIGTERM (or SIGHUP), as the handlers go with the loop (main.cpp, end of Run) and the default comes back. The test sends three signals there until the process has ended.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,7 +4,6 @@
 
 #include <cstdlib>
 #include <exception>
-#include <functional>
 #include <iostream>
 #include <memory>
 #include <optional>
@@ -25,16 +24,17 @@
 
 namespace {
 
-// The signals that are answered, held back until there is something to answer them. Guards against one that
-// comes while the process still starts (a new configuration for a fleet that is being restarted): by
-// default it would end the process.
+// The signals that are answered, held back while there is nothing to answer them. Guards against one that
+// comes while the process still starts (a new configuration for a fleet that is being restarted), or once
+// it has done its work and ends: by default it would end the process there and then.
 class HeldSignals {
  public:
   HeldSignals() {
     sigemptyset(&held_);
     for (const int number : {SIGHUP, SIGTERM, SIGINT, SIGUSR1}) sigaddset(&held_, number);
-    pthread_sigmask(SIG_BLOCK, &held_, nullptr);
+    Hold();
   }
+  void Hold() { pthread_sigmask(SIG_BLOCK, &held_, nullptr); }
   // From now on they come, those that came before at once. Threads begun before never get any.
   void Release() { pthread_sigmask(SIG_UNBLOCK, &held_, nullptr); }
 
@@ -42,8 +42,7 @@
   sigset_t held_;
 };
 
-// `ready` is called once every signal is answered.
-void Run(const brasswood::Config& config, const std::function<void()>& ready) {
+void Run(const brasswood::Config& config, HeldSignals& signals) {
   using namespace brasswood;
   Loop loop;
   Counters counters;
@@ -132,8 +131,9 @@
   loop.OnSignal(SIGINT, stop);
   LogLine(Level::kInfo) << config.name << " listens on "
                         << config.listen.substr(0, config.listen.rfind(':') + 1) << front.port();
-  ready();
+  signals.Release();  // every one of them is answered now
   loop.Run();
+  signals.Hold();
   LogLine(Level::kInfo) << counters;
 }
 
@@ -146,7 +146,7 @@
                     brasswood::ParseLevel(level == nullptr ? "" : level).value_or(brasswood::Level::kInfo));
   signal(SIGPIPE, SIG_IGN);
   try {
-    Run(brasswood::LoadConfig(), [&signals] { signals.Release(); });
+    Run(brasswood::LoadConfig(), signals);
     return 0;
   } catch (const std::exception& e) {
     std::cerr << "brasswood: " << e.what() << '\n';
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -183,6 +183,22 @@
   CHECK(router.process.Wait() == 0);
 }
 
+// Guards against an end in order that a supervisor's second word turns into a kill.
+TEST_CASE("signals that come once the router has done its work change nothing of its exit") {
+  for (int i = 0; i < 10; ++i) {
+    Process router = Start(Router::Config("127.0.0.1:1", ""));
+    REQUIRE(::kill(router.pid, SIGTERM) == 0);
+    CHECK_FALSE(router.err.Until(" counters: ").empty());  // its last line
+    int status = 0;
+    while (::waitpid(router.pid, &status, WNOHANG) == 0) {
+      for (const int number : {SIGHUP, SIGTERM, SIGUSR1}) ::kill(router.pid, number);
+    }
+    router.pid = -1;
+    CHECK(WIFEXITED(status));
+    CHECK(WEXITSTATUS(status) == 0);
+  }
+}
+
 // Guards against answers that are lost as their connection makes way in a full table, for a command that
 // crosses the close.
 TEST_CASE("a full table: a client that has not taken its answer yet does not make way") {
