--- a/lab/run/experiment.cpp
+++ b/lab/run/experiment.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <memory>
