Let a loop that is stopped before it runs end at once: a run of the laboratory hung

The stacks: the main thread joins the platform's, which waits in epoll with nothing to wake it. Cause: the router (/bin/false) had ended before that thread began; World::Run's first Tick saw the stop and broke the loop before it ran, and libevent forgets a break that comes before the dispatch (loop.h, Run and Stop).

The test stops a platform before it runs; without the mend it never returns.

--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -52,8 +52,15 @@
   event_base* base() { return base_.get(); }
   Deadlines& deadlines() { return deadlines_; }
   Time Now() const { return clock_.Now(); }
-  void Run() { event_base_dispatch(base_.get()); }
-  void Stop() { event_base_loopbreak(base_.get()); }
+  void Run() {
+    if (!stopped_) event_base_dispatch(base_.get());
+  }
+  // For good. Guards against a stop that comes before Run: libevent forgets such a one, and Run would wait
+  // for ever.
+  void Stop() {
+    stopped_ = true;
+    event_base_loopbreak(base_.get());
+  }
   // Runs `call` on each of that signal.
   void OnSignal(int number, std::function<void()> call);
 
@@ -61,6 +68,7 @@
   void Arm();
 
   Clock clock_;
+  bool stopped_ = false;
   std::unique_ptr<event_base, EventFree> base_;
   Deadlines deadlines_;
   EventPtr timer_;
--- a/tests/lab/run_test.cpp
+++ b/tests/lab/run_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <filesystem>
 
+#include "lab/world/world.h"
 #include "site.h"
 
 using namespace brasswood;
@@ -107,6 +108,14 @@
   CHECK(Decide(outcome, Measure(outcome)) == Verdict::kFailed);
 }
 
+// Guards against a run that ends before its platform's thread has begun, and waits for it for ever.
+TEST_CASE("a platform that is stopped before it runs ends at once") {
+  World world(ReadScenario(Site(""), "test"));
+  world.Stop();
+  world.Run();
+  CHECK(world.TakeTruth().attempts.empty());
+}
+
 TEST_CASE("an interrupted run leaves a valid partial result") {
   Folder folder;
   std::atomic<bool> interrupted{false};
