--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -132,6 +132,28 @@
   CHECK(attempt.Ended());
 }
 
+// ---- A router that is held up ----
+
+// Guards against answers that come after their client has gone: what arrives while the process stands still
+// has waited by the time it is read, and its time runs from its arrival.
+TEST_CASE("a request's time counts from its arrival, not from when a held-up router reads it") {
+  Listener node, discovery;
+  InProcess router(Router::Config(discovery.address(), Target("s1", node.address(), "in_service")),
+                   [](Limits&) {});
+  Fd client = router.Connect();
+  client.Write("mn\r\n");
+  CHECK(client.Line() == "MN\r\n");
+  router.Freeze();
+  client.Write(Read("k", "a1", 5000));
+  std::this_thread::sleep_for(300ms);  // longer is as good
+  router.Thaw();
+  Fd attempt = node.Accept();
+  const std::string line = attempt.Line();
+  const std::size_t at = line.find(",d=");
+  REQUIRE(at != line.npos);
+  CHECK(std::stoi(line.substr(at + 3)) <= 5000 - 300);
+}
+
 // ---- The start of a process, while signals come ----
 
 // Guards against a process that a new configuration, or its planned end, meets in the middle of its start:
