Pass on answers that end with their connection, where it closes in order

Cause: the parser took an answer with neither Content-Length nor chunks for a bad one as soon as its head was whole (ParseHead, http.cpp), and the pool took an orderly close and a reset for the same end (OnEvent). The same stood in the calls to discovery, which share the parser.

Change: the end of a body is known as RFC 9112, 6.3 has it, and both callers say whether the sender has closed in order. A reset ends nothing. Lists of lengths and of connection options are read as lists; an answer that came whole before the rest of a long command met the close is read before the attempt is given up.

--- a/src/net/attempt_pool.cpp
+++ b/src/net/attempt_pool.cpp
@@ -169,9 +169,26 @@
     loop_.deadlines().Drop(c.deadline);
     return WriteErrand(c);
   }
+  if (c.written && TakeLastAnswer(c, what)) return;
   Break(c, LeftWhole(c) ? Result::kReset : Result::kConnectFailed);
 }
 
+// The connection has ended under an attempt: is there a whole answer in what came before? An orderly close
+// ends an answer that states no length; a reset ends none. Guards also against an answer that is lost since
+// the rest of a long command met the close first: what came is still there to be read.
+bool AttemptPool::TakeLastAnswer(Connection& c, short what) {
+  if ((what & BEV_EVENT_WRITING) != 0) {
+    evbuffer* in = bufferevent_get_input(c.buffer.get());
+    evbuffer_unfreeze(in, 0);
+    const int most = static_cast<int>(limits_.value + limits_.http_head);
+    const bool came = evbuffer_read(in, bufferevent_getfd(c.buffer.get()), most) > 0;
+    evbuffer_freeze(in, 0);
+    return came && !c.streaming && TakeAnswer(c, InputEnd::kOpen) == Parsed::kDone;
+  }
+  if ((what & BEV_EVENT_EOF) == 0 || c.streaming) return false;
+  return TakeAnswer(c, InputEnd::kClosed) == Parsed::kDone;
+}
+
 // Has the errand's last byte left for the kernel? What a bufferevent still holds has not.
 bool AttemptPool::LeftWhole(const Connection& c) {
   return c.written && evbuffer_get_length(bufferevent_get_output(c.buffer.get())) == 0;
@@ -181,10 +198,7 @@
   if (c.idle || !c.written) return Break(c, Result::kConnectFailed);  // nothing was asked
   if (c.streaming) return Stream(c);
   if (c.errand.request && !c.errand.request->write && TryStream(c)) return;
-  std::size_t used = 0;
-  AttemptEnd end;
-  bool keep = true;
-  switch (Parse(Gathered(c.buffer.get()), c.errand, used, end, keep)) {
+  switch (TakeAnswer(c, InputEnd::kOpen)) {
     case Parsed::kMore:
       loop_.deadlines().Drop(c.deadline);
       AwaitRest(c, limits_.answer);
@@ -193,18 +207,28 @@
       LogLine(Level::kDebug) << "bad answer from " << engine_.FindServer(c.server)->uid;
       return Break(c, Result::kSpoilt);
     case Parsed::kDone:
-      break;
+      return;
   }
+}
+
+// kDone: a whole answer has come, the attempt has ended with it, and the connection rests or is gone.
+Parsed AttemptPool::TakeAnswer(Connection& c, InputEnd input) {
+  std::size_t used = 0;
+  AttemptEnd end;
+  bool keep = true;
+  const Parsed got = Parse(Gathered(c.buffer.get()), c.errand, input, used, end, keep);
+  if (got != Parsed::kDone) return got;
   loop_.deadlines().Drop(c.deadline);
   evbuffer_drain(bufferevent_get_input(c.buffer.get()), used);
   const AttemptId attempt = c.errand.attempt;
   const bool whole = LeftWhole(c) && evbuffer_get_length(bufferevent_get_input(c.buffer.get())) == 0;
-  if (keep && whole) {
+  if (keep && whole && input == InputEnd::kOpen) {
     Rest(c);
   } else {
     Drop(c);
   }
   engine_.AttemptEnded(attempt, std::move(end));
+  return Parsed::kDone;
 }
 
 // A large value is passed on as it comes, never held until it is whole: a slow server that writes in
@@ -399,8 +423,8 @@
   return ParseAttemptHead(in, *errand.request, limits(), used, end, length);
 }
 
-Parsed CacheServerPool::Parse(std::string_view in, const Errand& errand, std::size_t& used, AttemptEnd& end,
-                              bool&) const {
+Parsed CacheServerPool::Parse(std::string_view in, const Errand& errand, InputEnd, std::size_t& used,
+                              AttemptEnd& end, bool&) const {
   if (!errand.request) return ParseProbeReply(in, errand.load, limits(), used, end);
   return ParseAttemptReply(in, *errand.request, limits(), used, end);
 }
@@ -423,10 +447,10 @@
   return got;
 }
 
-Parsed OriginClient::Parse(std::string_view in, const Errand& errand, std::size_t& used, AttemptEnd& end,
-                           bool& keep) const {
+Parsed OriginClient::Parse(std::string_view in, const Errand& errand, InputEnd input, std::size_t& used,
+                           AttemptEnd& end, bool& keep) const {
   HttpAnswer answer;
-  const Parsed got = ParseHttpAnswer(in, limits().value, limits(), used, answer);
+  const Parsed got = ParseHttpAnswer(in, limits().value, limits(), input, used, answer);
   if (got != Parsed::kDone) return got;
   keep = answer.keep;
   end = errand.request ? ReadOriginAnswer(std::move(answer), *errand.request) : ReadOriginProbe(answer);
--- a/src/net/attempt_pool.h
+++ b/src/net/attempt_pool.h
@@ -48,9 +48,10 @@
     Time sent_by{0};
   };
   virtual std::string Write(const Errand& errand, const Server& server, Duration left) const = 0;
-  // `keep`: the connection may be used again.
-  virtual Parsed Parse(std::string_view in, const Errand& errand, std::size_t& used, AttemptEnd& end,
-                       bool& keep) const = 0;
+  // `input`: whether the server has closed its side, which ends some answers. `keep`: the connection may be
+  // used again.
+  virtual Parsed Parse(std::string_view in, const Errand& errand, InputEnd input, std::size_t& used,
+                       AttemptEnd& end, bool& keep) const = 0;
   const Limits& limits() const { return limits_; }
   // The head of an answer to a read whose value may go on in pieces. kDone with `length`: the value's
   // length, `used` up to its first byte, `trailer` the bytes after it (a CRLF, or none), `end` what the
@@ -89,6 +90,7 @@
   bool Connect(Connection& c, const Server& server);
   void WriteErrand(Connection& c);
   void OnRead(Connection& c);
+  Parsed TakeAnswer(Connection& c, InputEnd input);
   void OnWritten(Connection& c);
   bool TryStream(Connection& c);
   void Stream(Connection& c);
@@ -97,6 +99,7 @@
   Connection* Rested(ServerId server);
   void AwaitRest(Connection& c, Duration wait);
   void OnEvent(Connection& c, short what);
+  bool TakeLastAnswer(Connection& c, short what);
   void Rest(Connection& c);
   // Takes the connection away, and ends its errand with `result` if it has one.
   void Break(Connection& c, beechledge::Result result);
@@ -123,8 +126,8 @@
   Parsed ParseHead(std::string_view in, const Errand& errand, std::size_t& used, AttemptEnd& end,
                    std::optional<std::uint64_t>& length, std::size_t& trailer, bool& keep) const override;
   std::string Write(const Errand& errand, const Server& server, Duration left) const override;
-  Parsed Parse(std::string_view in, const Errand& errand, std::size_t& used, AttemptEnd& end,
-               bool& keep) const override;
+  Parsed Parse(std::string_view in, const Errand& errand, InputEnd input, std::size_t& used,
+               AttemptEnd& end, bool& keep) const override;
 };
 
 class OriginClient : public AttemptPool {
@@ -135,8 +138,8 @@
   Parsed ParseHead(std::string_view in, const Errand& errand, std::size_t& used, AttemptEnd& end,
                    std::optional<std::uint64_t>& length, std::size_t& trailer, bool& keep) const override;
   std::string Write(const Errand& errand, const Server& server, Duration left) const override;
-  Parsed Parse(std::string_view in, const Errand& errand, std::size_t& used, AttemptEnd& end,
-               bool& keep) const override;
+  Parsed Parse(std::string_view in, const Errand& errand, InputEnd input, std::size_t& used,
+               AttemptEnd& end, bool& keep) const override;
 };
 
 }  // namespace brasswood
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -104,6 +104,8 @@
       [](bufferevent*, short what, void* self) {
         auto* watch = static_cast<DiscoveryWatch*>(self);
         if (what & BEV_EVENT_CONNECTED) return watch->AwaitAnswer();
+        // An orderly close ends an answer that states no length.
+        if ((what & BEV_EVENT_EOF) && watch->TakeAnswer(InputEnd::kClosed) != Parsed::kMore) return;
         watch->Refuse("connection lost");
       },
       this);
@@ -120,19 +122,30 @@
 }
 
 void DiscoveryWatch::OnRead() {
+  if (TakeAnswer(InputEnd::kOpen) != Parsed::kMore) return;
+  // Guards against an answer that stops half way: once begun, it is whole soon.
+  if (!std::exchange(begun_, true)) Await(limits_.call_answer, "an answer that stops half way");
+}
+
+// kMore: it is not whole yet, and nothing has changed. Otherwise the call has ended, in one way or another.
+Parsed DiscoveryWatch::TakeAnswer(InputEnd input) {
   std::size_t used = 0;
   HttpAnswer answer;
-  const Parsed got = ParseHttpAnswer(Gathered(buffer_.get()), limits_.list, limits_, used, answer);
-  if (got == Parsed::kMore) {
-    // Guards against an answer that stops half way: once begun, it is whole soon.
-    if (!std::exchange(begun_, true)) Await(limits_.call_answer, "an answer that stops half way");
-    return;
+  const Parsed got = ParseHttpAnswer(Gathered(buffer_.get()), limits_.list, limits_, input, used, answer);
+  if (got == Parsed::kMore) return got;
+  if (got == Parsed::kBad || !calling_) {
+    Refuse("a bad answer");
+    return got;
   }
-  if (got == Parsed::kBad || !calling_) return Refuse("a bad answer");
+  TakeList(std::move(answer), used, input);
+  return got;
+}
+
+void DiscoveryWatch::TakeList(HttpAnswer answer, std::size_t used, InputEnd input) {
   evbuffer* in = bufferevent_get_input(buffer_.get());
   evbuffer_drain(in, used);
   // Guards against what comes beyond an answer, which would pass for the start of the next one.
-  if (!answer.keep || evbuffer_get_length(in) != 0) buffer_.reset();
+  if (!answer.keep || input == InputEnd::kClosed || evbuffer_get_length(in) != 0) buffer_.reset();
   if (answer.status != 200) return Refuse("status " + std::to_string(answer.status));
   std::string why;
   const auto list = ReadServerList(answer.body, names_, limits_, why);
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -10,6 +10,7 @@
 #include "config/settings.h"
 #include "core/engine.h"
 #include "net/loop.h"
+#include "protocol/http.h"
 
 namespace brasswood {
 
@@ -39,6 +40,8 @@
   void Await(Duration most, const char* what);
   void AwaitAnswer();
   void OnRead();
+  Parsed TakeAnswer(InputEnd input);
+  void TakeList(HttpAnswer answer, std::size_t used, InputEnd input);
   void Silent();
   void Refuse(const std::string& why);
 
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -13,11 +13,14 @@
 
 using beechledge::Result;
 
+// Bytes of a chunk's size line with its extensions, or of a trailer line.
+constexpr std::size_t kChunkLine = 4096;
+
 Parsed TakeChunks(std::string_view in, std::size_t at, std::size_t most, std::size_t& used,
                   std::string& body) {
   for (;;) {
     const std::size_t end = in.find("\r\n", at);
-    if (end == in.npos) return in.size() - at > 64 ? Parsed::kBad : Parsed::kMore;
+    if (end == in.npos) return in.size() - at > kChunkLine ? Parsed::kBad : Parsed::kMore;
     const std::string_view head = in.substr(at, end - at);
     const auto length = WholeNumber(Trim(head.substr(0, head.find(';'))), 16);
     if (!length || *length > most - body.size()) return Parsed::kBad;
@@ -30,7 +33,7 @@
   }
   for (;;) {  // trailers, up to the empty line
     const std::size_t end = in.find("\r\n", at);
-    if (end == in.npos) return in.size() - at > 4096 ? Parsed::kBad : Parsed::kMore;
+    if (end == in.npos) return in.size() - at > kChunkLine ? Parsed::kBad : Parsed::kMore;
     const bool last = end == at;
     at = end + 2;
     if (last) break;
@@ -56,14 +59,76 @@
   return path;
 }
 
-}  // namespace
+// How the end of an answer's body is known.
+enum class BodyEnd { kAtHead, kLastChunk, kLength, kClose };
 
-namespace {
+struct HttpHead {
+  BodyEnd body = BodyEnd::kClose;
+  std::uint64_t length = 0;  // of kLength
+};
+
+// The members of a comma-separated field value.
+template <class F>
+void EachMember(std::string_view value, F each) {
+  while (!value.empty()) {
+    const std::size_t comma = value.find(',');
+    each(Trim(value.substr(0, comma)));
+    value.remove_prefix(comma == value.npos ? value.size() : comma + 1);
+  }
+}
 
-// One head: interim ones, which have no body, are told by their status.
-// With `body`, a head whose body has a stated length is taken alone: `used` ends at the body's start.
-Parsed ParseHead(std::string_view in, std::size_t most_body, const Limits& limits, std::size_t& used,
-                 HttpAnswer& answer, std::optional<std::uint64_t>* body = nullptr) {
+// What the header fields say of the answer and of its end. False: they cannot be meant.
+class HeaderFields {
+ public:
+  explicit HeaderFields(HttpAnswer& answer) : answer_(answer) {}
+
+  bool Take(std::string_view name, std::string_view value) {
+    if (SameName(name, "Content-Length")) return TakeLength(value);
+    if (SameName(name, "Transfer-Encoding")) {
+      chunked_ = SameName(value, "chunked");
+      return chunked_;  // no other coding was asked for, and none can be undone
+    }
+    if (SameName(name, "Connection")) {
+      EachMember(value, [this](std::string_view option) {
+        if (SameName(option, "close")) answer_.keep = false;
+        if (SameName(option, "keep-alive")) answer_.keep = true;
+      });
+    } else if (SameName(name, "X-Turned-Away")) {
+      answer_.turned_away = value == "1";
+    } else if (SameName(name, "X-Pressure")) {
+      answer_.pressure = value;
+    }
+    return true;
+  }
+
+  HttpHead Result() const {
+    const bool no_body = answer_.status < 200 || answer_.status == 204 || answer_.status == 304;
+    if (no_body) return {BodyEnd::kAtHead, 0};
+    if (chunked_) return {BodyEnd::kLastChunk, 0};
+    if (length_) return {BodyEnd::kLength, *length_};
+    return {BodyEnd::kClose, 0};
+  }
+
+ private:
+  // A length that was stated more than once has to be the same each time (RFC 9112, 6.3).
+  bool TakeLength(std::string_view value) {
+    bool sound = !value.empty();
+    EachMember(value, [&](std::string_view member) {
+      const auto stated = WholeNumber(member);
+      if (!stated || (length_ && *length_ != *stated)) sound = false;
+      length_ = stated;
+    });
+    return sound;
+  }
+
+  HttpAnswer& answer_;
+  std::optional<std::uint64_t> length_;
+  bool chunked_ = false;
+};
+
+// One head; `used` ends behind its empty line.
+Parsed ParseOneHead(std::string_view in, const Limits& limits, std::size_t& used, HttpAnswer& answer,
+                    HttpHead& said) {
   answer = {};
   const std::size_t head_end = in.substr(0, limits.http_head + 4).find("\r\n\r\n");
   if (head_end == in.npos) return in.size() >= limits.http_head + 4 ? Parsed::kBad : Parsed::kMore;
@@ -73,8 +138,7 @@
   const auto status = WholeNumber(head.substr(9, 3));
   if (!status || *status < 100 || *status > 599) return Parsed::kBad;
   answer.status = static_cast<int>(*status);
-  std::optional<std::uint64_t> length;
-  bool chunked = false;
+  HeaderFields fields(answer);
   std::size_t line_end = head.find("\r\n");
   while (line_end != head.npos) {
     head.remove_prefix(line_end + 2);
@@ -82,51 +146,21 @@
     const std::string_view line = head.substr(0, line_end);
     const std::size_t colon = line.find(':');
     if (colon == line.npos || colon == 0) return Parsed::kBad;
-    const std::string_view name = line.substr(0, colon), value = Trim(line.substr(colon + 1));
-    if (SameName(name, "Content-Length")) {
-      const auto stated = WholeNumber(value);
-      if (!stated || (length && *length != *stated)) return Parsed::kBad;
-      length = stated;
-    } else if (SameName(name, "Transfer-Encoding")) {
-      if (!SameName(value, "chunked")) return Parsed::kBad;
-      chunked = true;
-    } else if (SameName(name, "Connection")) {
-      if (SameName(value, "close")) answer.keep = false;
-      if (SameName(value, "keep-alive")) answer.keep = true;
-    } else if (SameName(name, "X-Turned-Away")) {
-      answer.turned_away = value == "1";
-    } else if (SameName(name, "X-Pressure")) {
-      answer.pressure = value;
-    }
-  }
-  const std::size_t at = head_end + 4;
-  if (answer.status < 200 || answer.status == 204 || answer.status == 304) {
-    used = at;
-    return Parsed::kDone;
-  }
-  if (chunked) return TakeChunks(in, at, most_body, used, answer.body);
-  if (body != nullptr && length) {
-    *body = length;
-    used = at;
-    return Parsed::kDone;
+    if (!fields.Take(line.substr(0, colon), Trim(line.substr(colon + 1)))) return Parsed::kBad;
   }
-  if (!length || *length > most_body) return Parsed::kBad;
-  if (in.size() - at < *length) return Parsed::kMore;
-  answer.body.assign(in.substr(at, *length));
-  used = at + *length;
+  said = fields.Result();
+  used = head_end + 4;
   return Parsed::kDone;
 }
 
-}  // namespace
-
-// Interim answers (1xx) may stand before the answer and say nothing of it. They are passed over, but not
-// without end; a change of protocols was never asked for.
-Parsed ParseHttpAnswer(std::string_view in, std::size_t most_body, const Limits& limits, std::size_t& used,
-                       HttpAnswer& answer) {
+// The head of the answer itself. Interim answers (1xx) may stand before it and say nothing of it; they are
+// passed over, but not without end. A change of protocols was never asked for.
+Parsed ParseFinalHead(std::string_view in, const Limits& limits, std::size_t& used, HttpAnswer& answer,
+                      HttpHead& said) {
   std::size_t at = 0;
   for (std::size_t n = 0; n <= limits.interim; ++n) {
     std::size_t taken = 0;
-    const Parsed got = ParseHead(in.substr(at), most_body, limits, taken, answer);
+    const Parsed got = ParseOneHead(in.substr(at), limits, taken, answer, said);
     if (got != Parsed::kDone) return got;
     at += taken;
     if (answer.status == 101) return Parsed::kBad;
@@ -138,23 +172,40 @@
   return Parsed::kBad;
 }
 
+}  // namespace
+
+Parsed ParseHttpAnswer(std::string_view in, std::size_t most_body, const Limits& limits, InputEnd end,
+                       std::size_t& used, HttpAnswer& answer) {
+  HttpHead head;
+  std::size_t at = 0;
+  const Parsed got = ParseFinalHead(in, limits, at, answer, head);
+  if (got != Parsed::kDone) return got;
+  if (head.body == BodyEnd::kLastChunk) return TakeChunks(in, at, most_body, used, answer.body);
+  const std::size_t have = in.size() - at;
+  std::size_t length = 0;
+  if (head.body == BodyEnd::kLength) {
+    if (head.length > most_body) return Parsed::kBad;
+    length = static_cast<std::size_t>(head.length);
+    if (have < length) return Parsed::kMore;
+  }
+  if (head.body == BodyEnd::kClose) {
+    answer.keep = false;
+    if (have > most_body) return Parsed::kBad;
+    if (end != InputEnd::kClosed) return Parsed::kMore;
+    length = have;
+  }
+  answer.body.assign(in.substr(at, length));
+  used = at + length;
+  return Parsed::kDone;
+}
+
 Parsed ParseHttpHead(std::string_view in, const Limits& limits, std::size_t& used, HttpAnswer& answer,
                      std::optional<std::uint64_t>& length) {
-  std::size_t at = 0;
+  HttpHead head;
   length.reset();
-  for (std::size_t n = 0; n <= limits.interim; ++n) {
-    std::size_t taken = 0;
-    const Parsed got = ParseHead(in.substr(at), limits.value, limits, taken, answer, &length);
-    if (got != Parsed::kDone) return got;
-    at += taken;
-    if (answer.status == 101) return Parsed::kBad;
-    if (answer.status >= 200) {
-      used = at;
-      return Parsed::kDone;
-    }
-    length.reset();
-  }
-  return Parsed::kBad;
+  const Parsed got = ParseFinalHead(in, limits, used, answer, head);
+  if (got == Parsed::kDone && head.body == BodyEnd::kLength) length = head.length;
+  return got;
 }
 
 std::string WriteGet(std::string_view host, std::string_view path) {
--- a/src/protocol/http.h
+++ b/src/protocol/http.h
@@ -21,14 +21,16 @@
   std::string body;
 };
 
-// One answer with Content-Length or in chunks, interim ones before it passed over. A body that only the
-// connection's end bounds is bad: a cut one could not be told from a whole one.
-Parsed ParseHttpAnswer(std::string_view in, std::size_t most_body, const Limits& limits, std::size_t& used,
-                       HttpAnswer& answer);
-
-// The head alone of an answer, interim ones passed over: where it states a Content-Length, `length` has it
-// and `used` ends where the body begins; else `length` is empty and only the head was looked at (an answer
-// in chunks, or one with no body, is read whole by ParseHttpAnswer).
+// One answer, interim ones before it passed over. Its body ends as RFC 9112, 6.3, has it: by its status, by
+// its last chunk, at its Content-Length, or, where it states none of these, where the sender closes the
+// connection in order (`end` is kClosed). Until then such an answer is kMore, and after it `keep` is false.
+// kBad: not an answer, or a body of more than `most_body` bytes.
+Parsed ParseHttpAnswer(std::string_view in, std::size_t most_body, const Limits& limits, InputEnd end,
+                       std::size_t& used, HttpAnswer& answer);
+
+// The head alone of an answer, interim ones passed over; `used` ends where its body begins. `length` has
+// the body's Content-Length, if the body ends there; otherwise it is empty and ParseHttpAnswer finds the
+// end.
 Parsed ParseHttpHead(std::string_view in, const Limits& limits, std::size_t& used, HttpAnswer& answer,
                      std::optional<std::uint64_t>& length);
 
--- a/src/protocol/parse.h
+++ b/src/protocol/parse.h
@@ -20,6 +20,13 @@
   kBad,   // not a message, and where the next one begins is not known
 };
 
+// Whether more bytes can come on the connection that a message is read from. A reset is neither: what it
+// cut short is never a message.
+enum class InputEnd {
+  kOpen,
+  kClosed,  // the sender has closed its side in order
+};
+
 inline std::optional<std::uint64_t> WholeNumber(std::string_view text, int base = 10) {
   std::uint64_t n = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), n, base);
