Count a request's time from its arrival, not from when a held-up router reads it

Cause: Engine::Take counted a request's time from the moment of reading. A drain's grace was counted alike, from the reading of the list.

Ruled out: the attempts' own deadlines (each ran from the request's), the order of reads and deadlines in a turn (reads run first).

Change: the loop notes when each of its polls begins and returns, and tells from it the earliest moment at which what it reads can have arrived (base/poll_times.h, free of I/O). Requests, and what discovery tells, count from there.

--- a/src/core/ends.h
+++ b/src/core/ends.h
@@ -32,7 +32,8 @@
   std::shared_ptr<const RequestContent> content;
   int request_class = -1;
   int tenant = 0;
-  Duration wait{0};  // from now until its client gives up
+  Duration wait{0};  // from its arrival until its client gives up
+  Time arrived{0};   // its last byte, as far as that is known; 0: now
   std::optional<double> size_hint;
   bool repeat = false;
 };
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -120,16 +120,25 @@
   event.request_class = request.request_class;
   event.tenant = request.tenant;
   event.key = request.content->key;
-  event.ttl = wait;
   event.size_hint = request.size_hint;
   event.repeat = request.repeat;
   event.write = request.content->write;
   // One reading of the clock for both: were the module's deadline only a little later than the engine's, a
   // attempt that times out with its request would look to it like one worth another attempt.
   const Time now = now_();
+  const Time arrived = request.arrived == Time(0) ? now : std::min(request.arrived, now);
+  event.ttl = std::max(Duration(0), arrived + wait - now);
   by_id_.insert(request.content->id);
-  const RequestId id = requests_.Add(
-      {&front, ticket, request.request_class, std::move(request.content), now + wait, 0, false, 0, {}, {}});
+  const RequestId id = requests_.Add({&front,
+                                      ticket,
+                                      request.request_class,
+                                      std::move(request.content),
+                                      now + event.ttl,
+                                      0,
+                                      false,
+                                      0,
+                                      {},
+                                      {}});
   event.id = id;
   ++counters_.requests_in;
   ++open_requests_;
@@ -395,10 +404,10 @@
   }
   deadlines_.Set(now_() + std::chrono::milliseconds(500), [this] { LogBeliefs(); });
 }
-void Engine::Told(const ServerList& list) {
+void Engine::Told(const ServerList& list, Time arrived) {
   ++counters_.lists;
   rev_ = list.rev;
-  Take(list, list.all ? ListKind::kAll : ListKind::kChanges);
+  Take(list, list.all ? ListKind::kAll : ListKind::kChanges, false, arrived);
   confirmed_ = true;
   TakeUp();
 }
@@ -407,8 +416,8 @@
   Push(beechledge::ServerList{ListKind::kRefused, {}, false});
 }
 
-void Engine::Take(const ServerList& list, ListKind kind, bool old) {
-  const Time now = now_();
+void Engine::Take(const ServerList& list, ListKind kind, bool old, Time arrived) {
+  const Time now = std::min(now_(), arrived);
   beechledge::ServerList told;
   told.kind = kind;
   told.old = old;
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -60,7 +60,8 @@
   // From discovery.
   // `old`: it was held so long ago that servers in it may have been replaced.
   void Remember(const ServerList& known, bool old = false);
-  void Told(const ServerList& list);
+  // `arrived`: when it came, if that was before now: a drain's grace runs from then.
+  void Told(const ServerList& list, Time arrived = Time::max());
   void ListRefused();
 
   // From operators. A suspended server is told to the module as draining, whatever discovery says, until
@@ -136,7 +137,8 @@
   void Release(RequestId id);
   void Retire();
   Back& BackOf(ServerId id) { return *(servers_[id].origin ? origin_ : nodes_); }
-  void Take(const ServerList& list, beechledge::ListKind kind, bool old = false);
+  void Take(const ServerList& list, beechledge::ListKind kind, bool old = false,
+            Time arrived = Time::max());
   // The entry as the module is told it: discovery's, with what operators said laid over it.
   ServerEntry Effective(const ServerEntry& told) const;
   void Retell(const std::string& uid);
--- a/src/net/attempt_pool.cpp
+++ b/src/net/attempt_pool.cpp
@@ -157,6 +157,7 @@
 
 // The output has gone to the kernel whole: the attempt counts as an attempt from here.
 void AttemptPool::OnWritten(Connection& c) {
+  loop_.NoteCallback();
   loop_.deadlines().Drop(c.leaving);
   if (!c.written || c.counted || !c.errand.request) return;
   c.counted = true;
@@ -164,6 +165,7 @@
 }
 
 void AttemptPool::OnEvent(Connection& c, short what) {
+  loop_.NoteCallback();
   if (what & BEV_EVENT_CONNECTED) {
     c.up = true;
     loop_.deadlines().Drop(c.deadline);
@@ -195,6 +197,7 @@
 }
 
 void AttemptPool::OnRead(Connection& c) {
+  loop_.NoteCallback();
   if (c.idle || !c.written) return Break(c, Result::kConnectFailed);  // nothing was asked
   if (c.streaming) return Stream(c);
   if (c.errand.request && !c.errand.request->write && TryStream(c)) return;
--- a/src/net/client_front.cpp
+++ b/src/net/client_front.cpp
@@ -106,6 +106,7 @@
 }
 
 void ClientFront::Accept(evutil_socket_t fd) {
+  loop_.NoteCallback();
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   auto owned = std::make_unique<Client>();
@@ -121,9 +122,14 @@
   ++counters_.clients;
   bufferevent_setcb(
       s.buffer.get(),
-      [](bufferevent*, void* p) { static_cast<Client*>(p)->front->Read(*static_cast<Client*>(p)); },
+      [](bufferevent*, void* p) {
+        auto* at = static_cast<Client*>(p);
+        at->front->loop_.NoteCallback();
+        at->front->Read(*at);
+      },
       [](bufferevent*, void* p) {  // all written
         auto* at = static_cast<Client*>(p);
+        at->front->loop_.NoteCallback();
         at->front->Wake(at->id);
       },
       [](bufferevent*, short what, void* p) {
@@ -205,6 +211,7 @@
 void ClientFront::Begin(Client& s, RequestContent content) {
   NewRequest request;
   std::string error = DescribeRequest(std::move(content), names_, limits_, request);
+  request.arrived = loop_.Arrived();
   // Guards against two requests of one id: the answers of servers are told apart by it, and the first
   // request's client, perhaps another one, must be served as if nothing had happened.
   if (error.empty() && engine_.Holds(request.content->id)) error = "this id is in use";
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -142,6 +142,7 @@
 }
 
 void DiscoveryWatch::TakeList(HttpAnswer answer, std::size_t used, InputEnd input) {
+  const Time arrived = loop_.Arrived();
   evbuffer* in = bufferevent_get_input(buffer_.get());
   evbuffer_drain(in, used);
   // Guards against what comes beyond an answer, which would pass for the start of the next one.
@@ -164,7 +165,7 @@
   rev_ = list->rev;
   // The next call goes out before the module sees the news: a watch is kept up only by calling at once.
   if (following_) Call();
-  engine_.Told(*list);
+  engine_.Told(*list, arrived);
 }
 
 // Guards against a list that grows old for nothing: a watch that says no word any more is broken, and what
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -23,6 +23,7 @@
       base_.get(), -1, 0,
       [](evutil_socket_t, short, void* self) {
         auto* loop = static_cast<Loop*>(self);
+        loop->NoteCallback();
         loop->deadlines_.Run(loop->Now());
         loop->Arm();
       },
@@ -31,6 +32,27 @@
   deadlines_.OnEarlier([this] { Arm(); });
 }
 
+// One turn at a time, so that the moment at which each poll begins is known.
+void Loop::Run() {
+  while (!stopped_) {
+    polls_.Entered(Now(), deadlines_.Next());
+    if (event_base_loop(base_.get(), EVLOOP_ONCE) != 0) return;
+  }
+}
+
+// libevent notes when its poll returned, on a clock of its own: only the time since then is taken from it.
+// The bound guards against a step of the wall clock between the two looks, which that clock follows.
+Time Loop::PollReturned() {
+  timeval noted{}, current{};
+  event_base_gettimeofday_cached(base_.get(), &noted);
+  event_base_update_cache_time(base_.get());
+  event_base_gettimeofday_cached(base_.get(), &current);
+  const Duration since = std::chrono::seconds(current.tv_sec - noted.tv_sec) +
+                         std::chrono::microseconds(current.tv_usec - noted.tv_usec);
+  const Time now = Now();
+  return now - std::clamp(since, Duration(0), std::max(Duration(0), now - polls_.entered()));
+}
+
 void Loop::Arm() {
   const auto next = deadlines_.Next();
   if (!next) return;
@@ -42,9 +64,14 @@
 
 void Loop::OnSignal(int number, std::function<void()> call) {
   auto signal = std::make_unique<Signal>();
+  signal->loop = this;
   signal->call = std::move(call);
   signal->event.reset(evsignal_new(
-      base_.get(), number, [](evutil_socket_t, short, void* s) { static_cast<Signal*>(s)->call(); },
+      base_.get(), number,
+      [](evutil_socket_t, short, void* s) {
+        static_cast<Signal*>(s)->loop->NoteCallback();
+        static_cast<Signal*>(s)->call();
+      },
       signal.get()));
   event_add(signal->event.get(), nullptr);
   signals_.push_back(std::move(signal));
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -10,6 +10,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <functional>
 #include <memory>
@@ -17,6 +18,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/poll_times.h"
 #include "core/deadlines.h"
 
 namespace brasswood {
@@ -52,8 +54,16 @@
   event_base* base() { return base_.get(); }
   Deadlines& deadlines() { return deadlines_; }
   Time Now() const { return clock_.Now(); }
-  void Run() {
-    if (!stopped_) event_base_dispatch(base_.get());
+  void Run();
+  // To be called first by each callback from outside (a socket, a signal, the timer).
+  void NoteCallback() {
+    if (!polls_.has_returned()) polls_.Returned(PollReturned());
+  }
+  // The earliest moment at which what is read in this turn of the loop can have arrived: long before now
+  // where the process was held up. At most now.
+  Time Arrived() {
+    NoteCallback();
+    return std::min(polls_.Arrived(), Now());
   }
   // For good. Guards against a stop that comes before Run: libevent forgets such a one, and Run would wait
   // for ever.
@@ -66,13 +76,16 @@
 
  private:
   void Arm();
+  Time PollReturned();
 
   Clock clock_;
+  PollTimes polls_;
   bool stopped_ = false;
   std::unique_ptr<event_base, EventFree> base_;
   Deadlines deadlines_;
   EventPtr timer_;
   struct Signal {
+    Loop* loop = nullptr;
     EventPtr event;
     std::function<void()> call;
   };
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -7,6 +7,7 @@
 
 #include "base/counters.h"
 #include "base/log.h"
+#include "base/poll_times.h"
 #include "core/deadlines.h"
 #include "core/engine.h"
 #include "core/slots.h"
@@ -47,6 +48,24 @@
   CHECK_FALSE(deadlines.Next());
 }
 
+TEST_CASE("what a poll finds arrived between the return of the last one and its own") {
+  PollTimes polls;
+  const auto turn = [&polls](Time entered, Time returned, std::optional<Time> due = std::nullopt) {
+    polls.Entered(entered, due);
+    polls.Returned(returned);
+    polls.Returned(returned + 1h);  // a later callback of the same turn
+    return polls.Arrived();
+  };
+  CHECK(turn(10s, 12s) == 12s);               // it waited: just now
+  CHECK(turn(12150ms, 12150ms) == 12s);       // the turn before took 150 ms: at any time in it
+  CHECK(turn(12151ms, 12152ms) == 12150ms);   // as little as a millisecond is no wait
+  CHECK(turn(13s, 14s, 14s) == 14s);          // the deadline ended it
+  CHECK(turn(15s, 16s, 15500ms) == 15500ms);  // the deadline should have: it stood still since
+  CHECK(turn(17s, 17200ms, 16900ms) == 17s);  // but nothing was there as it began
+  polls.Entered(18s, std::nullopt);           // a turn of which no callback told
+  CHECK(turn(18100ms, 18100ms) == 18s);
+}
+
 namespace {
 
 struct Ends : Front, Back, Watch {
