Refuse work read late in a shutdown, bound it as a whole, and guard every send and end

Cause: after SIGTERM a connection that was owed an answer, or had not spoken yet, was read and served like any other for as long as it stayed open (ClientFront::Wake and Read), and the process waited for every open request, whatever its time (CheckDrained). A request taken then had no answer when the process was killed.

Ruled out: further attempts past their request's time (the engine compares with the deadline); the listener's queue (it is emptied before it closes, but an accept that failed for another reason than an empty queue left connections in it: mended as well).

Change: the shutdown is a state machine with a last moment for new work and a bound on the whole (core/shutdown.h): what is read later is refused at once, what is open at the bound is failed. Every attempt passes one guard, when it is decided and where its first byte leaves (core/send_guard.h), which now looks at whether the client is still there, too. One function ends each client's connection and says why. Tickets of clients that had gone were kept for ever; they go with their connection.

--- a/src/base/counters.cpp
+++ b/src/base/counters.cpp
@@ -18,9 +18,17 @@
   for (std::size_t i = 0; i < c.attempts_ended.size(); ++i) {
     out << " attempts_" << NameOf(i) << '=' << c.attempts_ended[i];
   }
-  return out << " connections=" << c.connections << " connections_reused=" << c.connections_reused
-             << " probes=" << c.probes << " lists=" << c.lists << " lists_refused=" << c.lists_refused
-             << " upstream_tries=" << c.upstream_tries;
+  out << " connections=" << c.connections << " connections_reused=" << c.connections_reused
+      << " probes=" << c.probes << " lists=" << c.lists << " lists_refused=" << c.lists_refused
+      << " upstream_tries=" << c.upstream_tries << " refused_stopping=" << c.refused_stopping
+      << " failed_stopping=" << c.failed_stopping;
+  for (std::size_t i = 0; i < c.clients_ended.size(); ++i) {
+    out << " clients_" << kClientEndNames[i] << '=' << c.clients_ended[i];
+  }
+  for (std::size_t i = 1; i < c.sends_held_back.size(); ++i) {
+    out << " held_back_" << kSendVerdictNames[i] << '=' << c.sends_held_back[i];
+  }
+  return out << c.invariants;
 }
 
 }  // namespace brasswood
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -54,6 +54,9 @@
   return h;
 }
 
+// Longer deadlines count as this one when a process is asked to stop.
+constexpr Duration kCountedDeadline = std::chrono::seconds(3);
+
 Limits FillLimits(const SettingsRead& s, double memory_mb, double sockets) {
   Limits l;
   // A descriptor each for epoll, signals, the listener, discovery and the log, and headroom; the rest is
@@ -97,6 +100,10 @@
     if (c.stream) l.answer = l.longest_wait;  // a streamed answer comes as it is made
   }
   if (longest > Duration(0)) l.default_wait = longest;
+  // A process that was asked to stop may be killed once the longest deadline (at most kCountedDeadline) and
+  // 0.7 s are over. What was taken in time has its whole deadline; the 0.2 s that are left are for a
+  // process that is held up, and for its last answers.
+  l.stop_within = l.linger + std::min(l.default_wait, kCountedDeadline);
   // News counts as told a little after a waiting call's end, come or not: no wait beyond half of what
   // the rules let a router go without asking.
   if (s.module.rules.ask_within > Duration(0)) {
--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -61,10 +61,13 @@
   Duration call_grace{std::chrono::milliseconds(1000)};   // and this long beyond it: then it is silent
   Duration call_up{std::chrono::milliseconds(1000)};      // a connection comes up within this
   Duration call_answer{std::chrono::milliseconds(1500)};  // and a call that does not wait is answered
-  Duration linger{std::chrono::milliseconds(500)};        // after SIGTERM, before the listener closes
-  Duration max_retry_after{0};                            // 0: clients are not told when to come back
-  Duration door_call{std::chrono::milliseconds(500)};     // a door call is whole this soon after its accept
-  Duration door_linger{std::chrono::seconds(1)};          // and its caller takes the answer within this
+  Duration linger{std::chrono::milliseconds(500)};        // after SIGTERM, new work is taken this long,
+  Duration stop_within{
+      std::chrono::milliseconds(3500)};                 // and all is answered and the process ends by then
+  Duration last_words{std::chrono::milliseconds(50)};   // then, for answers on their way
+  Duration max_retry_after{0};                          // 0: clients are not told when to come back
+  Duration door_call{std::chrono::milliseconds(500)};   // a door call is whole this soon after its accept
+  Duration door_linger{std::chrono::seconds(1)};        // and its caller takes the answer within this
   Duration put_back{std::chrono::milliseconds(50)};     // from the yes to a resume until its server is used
   Duration state_told{std::chrono::milliseconds(300)};  // a call waits so long to say whether it is stored
   Duration state_look{std::chrono::milliseconds(250)};  // how often the shared operator state is read
--- a/src/core/ends.h
+++ b/src/core/ends.h
@@ -59,6 +59,8 @@
   virtual void Deliver(std::uint64_t ticket, const Answer& answer) = 0;
   virtual void Open(std::uint64_t ticket, std::size_t length) = 0;
   virtual void Piece(std::uint64_t ticket, std::string_view bytes) = 0;
+  // Is this ticket's client still there, as far as its connection tells?
+  virtual bool Present(std::uint64_t ticket) const = 0;
   // Bytes of answers that wait to go out to this ticket's client: what a piece adds to.
   virtual std::size_t Backlog(std::uint64_t ticket) const = 0;
 };
@@ -86,8 +88,8 @@
  public:
   virtual ~Back() = default;
   // `until`: an answer is of use until then. `sent_by`: its last byte leaves before that moment, or it ends
-  // as never sent. Before its first byte the back end asks Engine::MayWrite, as much may have changed by
-  // then.
+  // as never sent. Before its first byte the back end asks Engine::JudgeFirstByte, as much may have changed
+  // by then.
   virtual void Start(AttemptId attempt, ServerId to, std::shared_ptr<const RequestContent> request,
                      Time until, Time sent_by) = 0;
   virtual void Probe(AttemptId probe, ServerId to, bool load) = 0;
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -147,10 +147,18 @@
   return id;
 }
 
-void Engine::AnswerRequest(Request& request, const Answer& answer) {
-  if (request.ended) return;
+// The one place at which a request stops being open.
+void Engine::End(Request& request) {
   request.ended = true;
   --open_requests_;
+}
+
+void Engine::AnswerRequest(Request& request, const Answer& answer) {
+  if (request.ended) return;
+  End(request);
+  const Duration late = now_() - request.deadline;
+  counters_.invariants.Expect(request.streaming != 0 || late <= Invariants::kMostLate,
+                              Invariant::kAnsweredInTime, request.content->id);
   CountClass(request.request_class, answer.kind);
   switch (answer.kind) {
     case AnswerKind::kValue:
@@ -176,9 +184,11 @@
 void Engine::ClientGone(RequestId id) {
   Request* request = requests_.Find(id);
   if (request == nullptr || request->ended) return;
-  request->ended = true;
-  --open_requests_;
+  End(*request);
   ++counters_.gone;
+  LogLine(Level::kDebug) << "request " << request->content->id
+                         << " client gone, attempts=" << request->attempts
+                         << " out=" << request->out.size();
   const std::vector<AttemptId> out = request->out;
   Queue(beechledge::ClientGone{id});
   for (const AttemptId attempt : out) GiveUp(attempt, Result::kCancelled);
@@ -186,6 +196,23 @@
   Pump();
 }
 
+std::size_t Engine::FailAll() {
+  std::vector<RequestId> open;
+  requests_.Each([&](RequestId id, const Request& request) {
+    if (!request.ended) open.push_back(id);
+  });
+  for (const RequestId id : open) {
+    Request& request = *requests_.Find(id);
+    const std::vector<AttemptId> out = request.out;
+    AnswerRequest(request, {AnswerKind::kFailed, {}, {}});
+    Queue(beechledge::ClientGone{id});  // the module has nothing more to decide for it
+    for (const AttemptId attempt : out) GiveUp(attempt, Result::kCancelled);
+    Release(id);
+  }
+  Pump();
+  return open.size();
+}
+
 // Forgets a request once it is answered and none of its attempts is out.
 void Engine::Release(RequestId id) {
   const Request* request = requests_.Find(id);
@@ -200,20 +227,9 @@
   Request* request = requests_.Find(a.id);
   const Time now = now_();
   const int attempt = request == nullptr ? 0 : request->attempts++;
-  // What must not go out has its outcome all the same: it never ran.
-  const bool fit = request != nullptr && !request->ended && a.server < servers_.size() &&
-                   now < request->deadline && attempt < limits_.max_attempts &&
-                   (request->out.empty() || settings_.allowed.parallel_tries);
-  if (!fit) {
-    beechledge::Outcome moot;
-    moot.id = a.id;
-    moot.server = a.server;
-    moot.attempt = attempt;
-    moot.complete = request == nullptr || request->ended;
-    moot.result = Result::kMoot;
-    ++counters_.attempts_ended[static_cast<std::size_t>(Result::kMoot)];
-    Queue(moot);
-    return;
+  const SendVerdict verdict = JudgeSending(request, a.server, attempt);
+  if (verdict != SendVerdict::kAllowed) {
+    return HoldBack(a, attempt, request == nullptr || request->ended, verdict);
   }
   Time until = request->deadline;
   if (a.timeout > Duration(0)) until = std::min(until, now + a.timeout);
@@ -229,6 +245,44 @@
   BackOf(a.server).Start(id, a.server, request->content, until, sent_by);
 }
 
+bool Engine::Serving(const Server& server, Time now, Duration grace) const {
+  return server.availability == Availability::kUp || now - server.since < grace;
+}
+
+bool Engine::RunsOnceOnly(const Request& request) const {
+  const auto of = static_cast<std::size_t>(request.request_class);
+  return of < settings_.classes.size() && settings_.classes[of].effect == beechledge::Effect::kUnsafe;
+}
+
+// Half of a drain's grace stays in hand: the rule counts from an attempt's first byte, and the process may
+// be held up on the way there.
+SendVerdict Engine::JudgeSending(const Request* request, ServerId server, int attempt) const {
+  SendFacts facts;
+  facts.request_open = request != nullptr && !request->ended;
+  facts.server_known = server < servers_.size();
+  if (!facts.request_open || !facts.server_known) return JudgeSend(facts);
+  facts.now = now_();
+  facts.send_by = std::min(request->deadline, request->repeat_by);
+  facts.attempts_left = attempt < limits_.max_attempts;
+  facts.alone = request->out.empty() || settings_.allowed.parallel_tries;
+  facts.harmless = !request->may_have_run || !RunsOnceOnly(*request);
+  facts.server_serving = Serving(servers_[server], facts.now, settings_.rules.drain_grace / 2);
+  return JudgeSend(facts);
+}
+
+// What must not go out has its outcome all the same: it never ran.
+void Engine::HoldBack(const beechledge::Send& a, int attempt, bool complete, SendVerdict why) {
+  ++counters_.sends_held_back[static_cast<std::size_t>(why)];
+  ++counters_.attempts_ended[static_cast<std::size_t>(Result::kMoot)];
+  beechledge::Outcome moot;
+  moot.id = a.id;
+  moot.server = a.server;
+  moot.attempt = attempt;
+  moot.complete = complete;
+  moot.result = Result::kMoot;
+  Queue(moot);
+}
+
 // Ends an attempt from this side. Its connection closes here, before the module hears of it and can send
 // the request anywhere else.
 void Engine::GiveUp(AttemptId id, Result why) {
@@ -267,6 +321,7 @@
                          << latency.count() / 1000 << " us";
   std::erase(request->out, id);
   const auto of = static_cast<std::size_t>(request->request_class);
+  request->may_have_run = request->may_have_run || !beechledge::NeverRan(end.result);
   if (!beechledge::NeverRan(end.result) && of < settings_.classes.size() &&
       settings_.classes[of].effect == beechledge::Effect::kKeyed) {
     request->repeat_by =
@@ -374,18 +429,53 @@
   return id < servers_.size() ? &servers_[id] : nullptr;
 }
 
-// Half of a drain's grace stays in hand: the rule counts from an attempt's first byte.
-bool Engine::MayWrite(AttemptId id, const std::string& endpoint) const {
+SendVerdict Engine::JudgeFirstByte(AttemptId id, const std::string& endpoint) const {
   const Attempt* attempt = attempts_.Find(id);
-  if (attempt == nullptr) return false;
-  // Where two attempts may be out at once, the other one may have been answered since.
-  const Request* request = requests_.Find(attempt->request);
-  if (request == nullptr || request->ended) return false;
-  const Server& s = servers_[attempt->server];
+  const Request* request = attempt == nullptr ? nullptr : requests_.Find(attempt->request);
+  SendFacts facts;
+  facts.request_open = request != nullptr && !request->ended;
+  if (!facts.request_open) return JudgeSend(facts);
+  const Server& server = servers_[attempt->server];
+  facts.client_present = request->front->Present(request->ticket);
+  facts.now = now_();
+  facts.send_by = attempt->sent_by;
+  facts.server_serving = Serving(server, facts.now, settings_.rules.drain_grace / 2);
+  facts.same_endpoint = server.endpoint == endpoint;
+  return JudgeSend(facts);
+}
+
+// Guards against the request of a client that has gone being tried elsewhere at once, and held back again.
+void Engine::HeldBack(AttemptId id, SendVerdict why) {
+  ++counters_.sends_held_back[static_cast<std::size_t>(why)];
+  const Attempt* attempt = attempts_.Find(id);
+  const Request* request = attempt == nullptr ? nullptr : requests_.Find(attempt->request);
+  if (request != nullptr) {
+    LogLine(Level::kDebug) << "attempt " << request->content->id << '/' << attempt->number
+                           << " held back: " << kSendVerdictNames[static_cast<std::size_t>(why)];
+    if (why == SendVerdict::kClientGone) ClientGone(attempt->request);
+  }
+  AttemptEnd end;
+  end.result = Result::kMoot;
+  AttemptEnded(id, std::move(end));
+}
+
+// The rules on sending, looked at after the fact: the bytes went out a turn of the loop after the guard had
+// let them, and the process may have been held up in between.
+void Engine::AttemptLeft(AttemptId id) {
+  ++counters_.upstream_tries;
+  const Attempt* attempt = attempts_.Find(id);
+  const Request* request = attempt == nullptr ? nullptr : requests_.Find(attempt->request);
+  if (request == nullptr) return;
+  Invariants& invariants = counters_.invariants;
+  const std::string& who = request->content->id;
   const Time now = now_();
-  const bool drained =
-      s.availability != Availability::kUp && now - s.since >= settings_.rules.drain_grace / 2;
-  return !drained && s.endpoint == endpoint && now < attempt->sent_by;
+  const Server& server = servers_[attempt->server];
+  const bool others_end = request->out.size() == 1 || settings_.allowed.parallel_tries;
+  invariants.Expect(!request->ended, Invariant::kSentForOpen, who);
+  invariants.Expect(now < attempt->sent_by + Invariants::kMostHeldUp, Invariant::kSentInTime, who);
+  invariants.Expect(Serving(server, now, settings_.rules.drain_grace), Invariant::kSentToServing, who);
+  invariants.Expect(others_end, Invariant::kSentAlone, who);
+  invariants.Expect(!request->may_have_run || !RunsOnceOnly(*request), Invariant::kSentHarmlessly, who);
 }
 
 void Engine::Remember(const ServerList& known, bool old) {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -20,6 +20,7 @@
 #include "config/limits.h"
 #include "core/deadlines.h"
 #include "core/ends.h"
+#include "core/send_guard.h"
 #include "core/server_list.h"
 #include "core/slots.h"
 #include "state/snapshot.h"
@@ -38,6 +39,8 @@
   // it returns.
   RequestId Take(Front& front, std::uint64_t ticket, NewRequest request);
   void ClientGone(RequestId request);
+  // Fails all that is open, each attempt given up first: the process is about to end. Returns how many.
+  std::size_t FailAll();
   // Is there a request of this id whose answer is owed or whose attempt is out?
   bool Holds(const std::string& id) const { return by_id_.contains(id); }
 
@@ -54,8 +57,12 @@
   std::size_t Backlog(AttemptId attempt) const;
   const Server* FindServer(ServerId id) const;
   // May the first byte of this attempt leave now, on a connection that leads to `endpoint`? It was decided
-  // when the attempt was made, and a connection had to come up since.
-  bool MayWrite(AttemptId id, const std::string& endpoint) const;
+  // when the attempt was made, and a connection had to come up since. The back end ends one that may not as
+  // never sent, with HeldBack.
+  SendVerdict JudgeFirstByte(AttemptId id, const std::string& endpoint) const;
+  void HeldBack(AttemptId id, SendVerdict why);
+  // The attempt's last byte has left.
+  void AttemptLeft(AttemptId id);
 
   // From discovery.
   // `old`: it was held so long ago that servers in it may have been replaced.
@@ -105,6 +112,7 @@
     std::vector<AttemptId> out;
     std::vector<ServerId> asked;
     Time repeat_by{Time::max()};  // of a keyed one that may have run: its repeats have left by then
+    bool may_have_run = false;    // one of its attempts, for all that is known
   };
   struct Attempt {
     RequestId request = 0;  // 0: a probe
@@ -130,6 +138,11 @@
   void Do(const beechledge::Tell&) {}  // routers share nothing
   void Do(const beechledge::Log& a);
 
+  SendVerdict JudgeSending(const Request* request, ServerId server, int attempt) const;
+  bool Serving(const Server& server, Time now, Duration grace) const;
+  bool RunsOnceOnly(const Request& request) const;
+  void HoldBack(const beechledge::Send& a, int attempt, bool complete, SendVerdict why);
+  void End(Request& request);
   void GiveUp(AttemptId id, beechledge::Result why);
   void Stall(Attempt& attempt, AttemptId id);
   void Conclude(AttemptId id, AttemptEnd end);
--- /dev/null
+++ b/src/core/shutdown.h
@@ -0,0 +1,47 @@
+// The graceful shutdown of a router as a small state machine. Free of I/O.
+//
+//   serving --Begin--> accepting --Limits::linger--> refusing --Limits::stop_within--> time up
+//
+// While accepting, the listener stays open and all is served as before: whoever deals out connections has
+// not heard yet. From the last moment for new work on, every request that is read is refused at once: the
+// process may be killed before it could be answered. What was taken before has its whole time, up to the
+// bound; at the bound whatever is still open is failed, so that each request has its final answer.
+#ifndef BRASSWOOD_CORE_SHUTDOWN_H_
+#define BRASSWOOD_CORE_SHUTDOWN_H_
+
+#include <optional>
+
+#include "base/clock.h"
+#include "config/limits.h"
+
+namespace brasswood {
+
+class Shutdown {
+ public:
+  enum class Phase { kServing, kAccepting, kRefusing, kTimeUp };
+
+  explicit Shutdown(const Limits& limits) : limits_(limits) {}
+
+  // The signal came at `at`. Once.
+  void Begin(Time at) { begun_ = at; }
+  bool begun() const { return begun_.has_value(); }
+  // Both only once it has begun.
+  Time last_new_work() const { return *begun_ + limits_.linger; }
+  Time time_up() const { return *begun_ + limits_.stop_within; }
+
+  Phase At(Time now) const {
+    if (!begun_) return Phase::kServing;
+    if (now < last_new_work()) return Phase::kAccepting;
+    return now < time_up() ? Phase::kRefusing : Phase::kTimeUp;
+  }
+  // May a request that is read now be forwarded?
+  bool TakesWork(Time now) const { return At(now) < Phase::kRefusing; }
+
+ private:
+  const Limits& limits_;
+  std::optional<Time> begun_;
+};
+
+}  // namespace brasswood
+
+#endif  // BRASSWOOD_CORE_SHUTDOWN_H_
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -125,7 +125,7 @@
   const auto stop = [&] {
     LogLine(Level::kInfo) << config.name << " stops; open requests: " << engine.open_requests();
     if (keeper) keeper->Take();
-    front.Drain([&loop] { loop.Stop(); });
+    front.Stop([&loop] { loop.Stop(); });
   };
   loop.OnSignal(SIGTERM, stop);
   loop.OnSignal(SIGINT, stop);
@@ -134,6 +134,7 @@
   signals.Release();  // every one of them is answered now
   loop.Run();
   signals.Hold();
+  counters.invariants.Expect(engine.open_requests() == 0, Invariant::kAnsweredBeforeEnd, "exit");
   LogLine(Level::kInfo) << counters;
 }
 
--- a/src/net/attempt_pool.cpp
+++ b/src/net/attempt_pool.cpp
@@ -133,14 +133,13 @@
 
 void AttemptPool::WriteErrand(Connection& c) {
   const Server* server = engine_.FindServer(c.server);
-  if (c.errand.request && !engine_.MayWrite(c.errand.attempt, c.endpoint)) {
-    // While the connection came up its server was told to drain, or has moved, or a keyed request's time
-    // for repeats is over. The connection itself is sound.
+  const SendVerdict verdict =
+      c.errand.request ? engine_.JudgeFirstByte(c.errand.attempt, c.endpoint) : SendVerdict::kAllowed;
+  if (verdict != SendVerdict::kAllowed) {
+    // The connection itself is sound.
     const AttemptId attempt = c.errand.attempt;
     Rest(c);
-    AttemptEnd end;
-    end.result = Result::kMoot;
-    return engine_.AttemptEnded(attempt, std::move(end));
+    return engine_.HeldBack(attempt, verdict);
   }
   const std::string text = Write(c.errand, *server, c.errand.until - loop_.Now());
   c.written = true;
@@ -161,7 +160,7 @@
   loop_.deadlines().Drop(c.leaving);
   if (!c.written || c.counted || !c.errand.request) return;
   c.counted = true;
-  ++counters_.upstream_tries;
+  engine_.AttemptLeft(c.errand.attempt);
 }
 
 void AttemptPool::OnEvent(Connection& c, short what) {
--- a/src/net/client_front.cpp
+++ b/src/net/client_front.cpp
@@ -23,7 +23,8 @@
       limits_(limits),
       names_(names),
       counters_(counters),
-      listener_(nullptr, evconnlistener_free) {
+      listener_(nullptr, evconnlistener_free),
+      shutdown_(limits) {
   once_.most = limits_.resting;
   again_.most = limits_.resting_again;
   const auto at = ParseAddress(address);
@@ -89,7 +90,7 @@
   });
   if (chosen == 0) return Pause();  // all are at work
   ++counters_.made_way;
-  Close(chosen);
+  Close(chosen, ClientEnd::kMadeWay);
 }
 
 // Accepts no more for a moment. Without it a loop that cannot accept would spin on the listener.
@@ -115,6 +116,7 @@
   s.buffer.reset(bufferevent_socket_new(loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE));
   if (!s.buffer) {
     evutil_closesocket(fd);
+    ++counters_.clients_ended[static_cast<std::size_t>(ClientEnd::kNoMemory)];
     return;
   }
   s.active = loop_.Now();
@@ -134,7 +136,9 @@
       },
       [](bufferevent*, short what, void* p) {
         auto* at = static_cast<Client*>(p);
-        if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) at->front->Close(at->id);
+        at->front->loop_.NoteCallback();
+        if (what & BEV_EVENT_TIMEOUT) return at->front->Close(at->id, ClientEnd::kTakesNothing);
+        if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) at->front->Close(at->id, ClientEnd::kByClient);
       },
       &s);
   // Room for one command of the largest size and a little more; the rest waits in the kernel.
@@ -156,7 +160,7 @@
   const std::uint64_t id = s.id;
   // Guards against work for nobody: a client that has gone already is owed nothing, however much of what it
   // sent before is still to be read.
-  if (PeerGone(bufferevent_getfd(s.buffer.get()))) return Close(id);
+  if (PeerGone(bufferevent_getfd(s.buffer.get()))) return Close(id, ClientEnd::kByClient);
   while (!s.closing) {
     if (Full(s)) {
       s.paused = true;
@@ -176,7 +180,7 @@
     s.partial = Time(0);
     if (got == Parsed::kBad) {
       ++counters_.bad_commands;
-      s.closing = true;
+      Closing(s, ClientEnd::kBadCommand);
       Reply(s, "CLIENT_ERROR " + command.error + "\r\n");
       break;
     }
@@ -193,7 +197,7 @@
         Reply(s, Welcoming() ? "MN\r\n" : "SERVER_ERROR not ready\r\n");
         break;
       case Verb::kQuit:
-        s.closing = true;
+        Closing(s, ClientEnd::kQuit);
         break;
       case Verb::kUnknown:
         ++counters_.bad_commands;
@@ -219,19 +223,33 @@
     ++counters_.bad_commands;
     return Reply(s, "CLIENT_ERROR " + error + "\r\n");
   }
+  if (!shutdown_.TakesWork(loop_.Now())) return RefuseLate(s, request.content->id);
   Pending pending;
   pending.id = request.content->id;
   const std::uint64_t number = s.first + s.pending.size();
   s.pending.push_back(std::move(pending));
   const std::uint64_t ticket = tickets_.Add({s.id, number});
+  s.pending.back().ticket = ticket;
   const RequestId id = engine_.Take(*this, ticket, std::move(request));
   if (id == 0) return Deliver(ticket, {AnswerKind::kRefused, {}, limits_.max_retry_after / 4});
   if (tickets_.Find(ticket) != nullptr) s.pending[number - s.first].request = id;
 }
 
+// Guards against work begun for a process that is about to be killed.
+void ClientFront::RefuseLate(Client& s, const std::string& request) {
+  ++counters_.refused_stopping;
+  LogLine(Level::kDebug) << "request " << request << " refused: the router shuts down";
+  std::string text;
+  AppendAnswer(text, request, {AnswerKind::kRefused, {}, {}}, limits_);
+  Reply(s, std::move(text));
+}
+
 void ClientFront::Reply(Client& s, std::string text) {
   s.held += text.size();
-  s.pending.push_back({0, {}, true, false, false, std::move(text)});
+  Pending pending;
+  pending.answered = true;
+  pending.text = std::move(text);
+  s.pending.push_back(std::move(pending));
   Flush(s);
 }
 
@@ -250,6 +268,8 @@
   Pending* pending = PendingOf(ticket, s);
   tickets_.Remove(ticket);
   if (pending == nullptr) return;
+  counters_.invariants.Expect(!pending->answered, Invariant::kAnsweredOnce, pending->id);
+  pending->ticket = 0;
   const std::size_t before = pending->text.size();
   if (!pending->open) {
     AppendAnswer(pending->text, pending->id, answer, limits_);
@@ -288,6 +308,12 @@
   Flush(*s);
 }
 
+bool ClientFront::Present(std::uint64_t ticket) const {
+  const Ticket* to = tickets_.Find(ticket);
+  const auto* held = to == nullptr ? nullptr : clients_.Find(to->client);
+  return held != nullptr && !PeerGone(bufferevent_getfd((*held)->buffer.get()));
+}
+
 std::size_t ClientFront::Backlog(std::uint64_t ticket) const {
   const Ticket* to = tickets_.Find(ticket);
   if (to == nullptr) return 0;
@@ -312,10 +338,10 @@
     // see the connection end where the value stops.
     if (broken) {
       s.cut = true;
-      s.closing = true;
+      Closing(s, ClientEnd::kValueCut);
     }
   }
-  if ((s.paused || s.closing || draining_ || sending_away_) && !s.woken) {
+  if ((s.paused || s.closing || shutdown_.begun() || sending_away_) && !s.woken) {
     s.woken = true;
     loop_.deadlines().Set(Time(0), [this, id = s.id] { Wake(id); });
   }
@@ -328,7 +354,7 @@
   s.look = loop_.deadlines().Set(loop_.Now() + limits_.gone_look, [this, id = s.id] {
     Client& at = **clients_.Find(id);
     at.look = {};
-    if (PeerGone(bufferevent_getfd(at.buffer.get()))) return Close(id);
+    if (PeerGone(bufferevent_getfd(at.buffer.get()))) return Close(id, ClientEnd::kByClient);
     if (at.paused || at.closing) LookForEnd(at);
   });
 }
@@ -344,22 +370,16 @@
     return Read(s);
   }
   if (s.cut && !s.pending.empty()) {
-    std::vector<RequestId> given_up;
-    for (const Pending& pending : s.pending) {
-      if (pending.request != 0) given_up.push_back(pending.request);
-    }
-    s.first += s.pending.size();
-    s.pending.clear();
-    s.held = 0;
-    for (const RequestId request : given_up) engine_.ClientGone(request);
+    GiveUpPending(s);
   }
   if (s.closing) return HangUp(s);
   // While draining, a connection closes once it has fallen idle; a new one is first let speak. (libevent
   // reports a fresh connection's empty output as written, which used to close it before its first command.)
   // Guards against a close that crosses a command in the kernel: it would be reset, and the answers on
   // their way with it. That command is read and answered first.
-  if ((draining_ || sending_away_) && s.used && Idle(s) && !Unread(bufferevent_getfd(s.buffer.get()))) {
-    return Part(s);
+  const bool ending = shutdown_.begun() || sending_away_;
+  if (ending && s.used && Idle(s) && !Unread(bufferevent_getfd(s.buffer.get()))) {
+    return Part(s, shutdown_.begun() ? ClientEnd::kStopping : ClientEnd::kSentAway);
   }
   Await(s);
 }
@@ -410,7 +430,7 @@
       continue;
     }
     ++counters_.made_way;
-    Part(s);
+    Part(s, ClientEnd::kMadeWay);
   }
 }
 
@@ -425,20 +445,27 @@
   }
   if (s.partial == Time(0)) {
     counters_.silent += !s.used;
-    return Part(s);
+    return Part(s, s.used ? ClientEnd::kRested : ClientEnd::kSilent);
   }
   ++counters_.silent;
-  s.closing = true;
+  Closing(s, ClientEnd::kSilent);
   Reply(s, "CLIENT_ERROR command not ended in time\r\n");
 }
 
 // Ends a connection at rest. Guards against a command that crosses the end: closing at once would answer it
 // with a reset, and what the other side has not taken yet of its answers would go with it.
-void ClientFront::Part(Client& s) {
-  s.closing = true;
+void ClientFront::Part(Client& s, ClientEnd why) {
+  Closing(s, why);
   HangUp(s);
 }
 
+// The first reason stands.
+void ClientFront::Closing(Client& s, ClientEnd why) {
+  if (s.closing) return;
+  s.closing = true;
+  s.why = why;
+}
+
 // Ends a connection whose framing is lost, or that asked for it. Guards against errors that never arrive:
 // closing a socket with unread input sends a reset, which can destroy the answer on its way. So what still
 // comes is read and thrown away, the answers go out, the sending is shut, and the socket closes when the
@@ -461,7 +488,8 @@
   if (s.shut || !Idle(s)) return;
   s.shut = true;
   ::shutdown(bufferevent_getfd(s.buffer.get()), SHUT_WR);
-  s.deadline = loop_.deadlines().Set(loop_.Now() + limits_.hang_up, [this, id = s.id] { Close(id); });
+  s.deadline = loop_.deadlines().Set(loop_.Now() + limits_.hang_up,
+                                     [this, id = s.id] { Close(id, ClientEnd::kTakesNothing); });
 }
 
 // MSG_TRUNC lets the kernel drop the bytes without a copy: tens of megabytes may come.
@@ -469,26 +497,44 @@
   constexpr std::size_t kAtOnce = 1 << 20;
   const ssize_t n = ::recv(bufferevent_getfd(s.buffer.get()), nullptr, kAtOnce, MSG_TRUNC | MSG_DONTWAIT);
   if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return;
-  if (n <= 0) return Close(s.id);
+  if (n <= 0) return Close(s.id, ClientEnd::kByClient);
   s.discarded += static_cast<std::size_t>(n);
   if (s.discarded <= limits_.discard) return;
-  if (s.shut) return Close(s.id);
+  if (s.shut) return Close(s.id, s.why);
   event_del(s.discard.get());  // it is still owed an answer: the rest waits in the kernel
   LookForEnd(s);
 }
 
-void ClientFront::Close(std::uint64_t id) {
+// The one end of a client's connection. `why`: unless it was closing already, for a reason of its own.
+void ClientFront::Close(std::uint64_t id, ClientEnd why) {
   auto* held = clients_.Find(id);
   if (held == nullptr) return;
   const std::unique_ptr<Client> s = std::move(*held);
   clients_.Remove(id);
+  const ClientEnd ended = s->closing && s->shut ? s->why : why;
+  ++counters_.clients_ended[static_cast<std::size_t>(ended)];
+  LogLine(Level::kDebug) << "client " << id
+                         << " closed: " << kClientEndNames[static_cast<std::size_t>(ended)] << ", owed "
+                         << s->pending.size();
+  const bool by_client = ended == ClientEnd::kByClient || ended == ClientEnd::kTakesNothing;
+  const std::string_view owed = s->pending.empty() ? std::string_view() : s->pending.front().id;
+  counters_.invariants.Expect(by_client || s->pending.empty(), Invariant::kAnsweredBeforeEnd, owed);
   loop_.deadlines().Drop(s->deadline);
   loop_.deadlines().Drop(s->look);
   Rouse(*s);
   s->discard.reset();
   s->buffer.reset();
-  for (const Pending& pending : s->pending) {
-    if (pending.request != 0) engine_.ClientGone(pending.request);
+  GiveUpPending(*s);
+}
+
+// What is still owed to a client that takes no more answers is given up.
+void ClientFront::GiveUpPending(Client& s) {
+  const std::deque<Pending> pending = std::exchange(s.pending, {});
+  s.first += pending.size();
+  s.held = 0;
+  for (const Pending& p : pending) {
+    if (p.ticket != 0) tickets_.Remove(p.ticket);
+    if (p.request != 0) engine_.ClientGone(p.request);
   }
 }
 
@@ -508,43 +554,80 @@
   for (const std::uint64_t id : all) Wake(id);
 }
 
-void ClientFront::Drain(std::function<void()> done) {
-  if (draining_) return;
-  draining_ = true;
-  drained_ = std::move(done);
+void ClientFront::Stop(std::function<void()> done) {
+  if (shutdown_.begun()) return;
+  shutdown_.Begin(loop_.Arrived());
+  stopped_ = std::move(done);
   std::vector<std::uint64_t> all;
   clients_.Each([&](std::uint64_t id, auto&) { all.push_back(id); });
   for (const std::uint64_t id : all) Wake(id);
-  loop_.deadlines().Set(loop_.Now() + limits_.linger, [this] {
-    TakeWaiting();
-    listener_closed_ = true;
-    listener_.reset();
-    CheckDrained(false);
-  });
+  loop_.deadlines().Set(shutdown_.last_new_work(), [this] { StopListening(); });
+  loop_.deadlines().Set(shutdown_.time_up(), [this] { StopNow(); });
 }
 
 // Connections that the kernel has taken count as taken by the router: none is left behind in the queue of a
-// closing listener. They are served and then closed like the others.
-void ClientFront::TakeWaiting() {
+// closing listener. They are answered and then closed like the others. False: some may be left, for want of
+// descriptors or memory (accept(2) names further errors, of the connection itself, that are passed over).
+bool ClientFront::TakeWaiting() {
+  constexpr int kMostErrors = 64;
   const evutil_socket_t listening = evconnlistener_get_fd(listener_.get());
-  for (;;) {
+  for (int errors = 0; errors < kMostErrors;) {
     const int fd = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd < 0) return;
-    Accept(fd);
+    if (fd >= 0) {
+      Accept(fd);
+      continue;
+    }
+    if (errno == EAGAIN || errno == EWOULDBLOCK) return true;
+    if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) return false;
+    ++errors;
   }
+  return false;
+}
+
+void ClientFront::StopListening() {
+  if (listener_closed_) return;
+  const bool taken = TakeWaiting();
+  if (!taken && shutdown_.At(loop_.Now()) != Shutdown::Phase::kTimeUp) {
+    constexpr std::chrono::milliseconds kAgain(10);
+    loop_.deadlines().Set(loop_.Now() + kAgain, [this] { StopListening(); });
+    return;
+  }
+  listener_closed_ = true;
+  listener_.reset();
+  LogLine(Level::kInfo) << "no new work from now on; open requests: " << engine_.open_requests()
+                        << ", clients: " << clients_.size();
+  EndWhenQuiet(false);
+}
+
+// The time of the shutdown is up: what is open is failed, so that each request has its answer, and the
+// process ends a moment later, whatever its clients take of it.
+void ClientFront::StopNow() {
+  StopListening();
+  const std::size_t failed = engine_.FailAll();
+  counters_.failed_stopping += failed;
+  LogLine(failed == 0 ? Level::kInfo : Level::kWarn)
+      << "the shutdown's time is up; requests failed: " << failed << ", clients: " << clients_.size();
+  loop_.deadlines().Set(loop_.Now() + limits_.last_words, [this] { stopped_(); });
 }
 
 // Looks again and again until two looks in a row, a short while apart, find nothing open: what was on its
 // way when the listener closed is still read and answered, and what was answered is taken (a client that
 // takes nothing is closed after Limits::hang_up).
-void ClientFront::CheckDrained(bool quiet_before) {
+void ClientFront::EndWhenQuiet(bool quiet_before) {
+  const bool quiet = Quiet();
+  if (quiet && quiet_before) return stopped_();
+  constexpr std::chrono::milliseconds kBetween(25);
+  loop_.deadlines().Set(loop_.Now() + kBetween, [this, quiet] { EndWhenQuiet(quiet); });
+}
+
+// Is nothing owed to anybody any more? A connection that has not spoken yet is waited for as at any other
+// time (Limits::speak): a close that crosses its first command would lose that one.
+bool ClientFront::Quiet() {
   bool quiet = engine_.open_requests() == 0;
-  clients_.Each([&](std::uint64_t, auto& s) {
-    quiet &= Idle(*s) && Untaken(bufferevent_getfd(s->buffer.get())) == 0;
+  clients_.Each([&quiet](std::uint64_t, const auto& s) {
+    quiet = quiet && s->shut && Untaken(bufferevent_getfd(s->buffer.get())) == 0;
   });
-  if (quiet && quiet_before) return drained_();
-  loop_.deadlines().Set(loop_.Now() + std::chrono::milliseconds(25),
-                        [this, quiet] { CheckDrained(quiet); });
+  return quiet;
 }
 
 }  // namespace brasswood
--- a/src/net/client_front.h
+++ b/src/net/client_front.h
@@ -14,6 +14,7 @@
 #include "config/limits.h"
 #include "config/settings.h"
 #include "core/engine.h"
+#include "core/shutdown.h"
 #include "core/slots.h"
 #include "net/loop.h"
 
@@ -29,11 +30,12 @@
   void Deliver(std::uint64_t ticket, const Answer& answer) override;
   void Open(std::uint64_t ticket, std::size_t length) override;
   void Piece(std::uint64_t ticket, std::string_view bytes) override;
+  bool Present(std::uint64_t ticket) const override;
   std::size_t Backlog(std::uint64_t ticket) const override;
 
-  // Closes each connection as it falls idle; after Limits::linger the listener too, and calls `done` once
-  // nothing is left to answer.
-  void Drain(std::function<void()> done);
+  // Begins the shutdown (core/shutdown.h): each connection closes as it falls idle, the listener closes at
+  // the last moment for new work, and `done` is called once nothing is left to answer, or its time is up.
+  void Stop(std::function<void()> done);
 
   // Operators' drain: `mn` is answered as not ready, and each connection closes once it has fallen idle,
   // its answers out and nothing more sent; new ones are still taken and served alike. Off again: as before.
@@ -42,7 +44,7 @@
   // listener stays open, as before the door: the front moves on by the process's end.)
   bool Welcoming() const { return !sending_away_ && engine_.ready(); }
   // Is this process ready to serve? Not while sending away, nor once SIGTERM came.
-  bool Ready() const { return Welcoming() && !draining_; }
+  bool Ready() const { return Welcoming() && !shutdown_.begun(); }
 
   // The limits have changed (a replacement shares them): idle connections past the new ones make way.
   void Reshare();
@@ -58,6 +60,7 @@
   };
   struct Pending {  // a command whose answer has not gone out
     RequestId request = 0;
+    std::uint64_t ticket = 0;  // while its answer is owed by the engine; 0: it is not
     std::string id;
     bool answered = false;
     bool open = false;    // a value going on in pieces: what is in `text` may go out before the rest
@@ -69,17 +72,18 @@
     std::uint64_t id = 0;
     BufferPtr buffer;
     std::deque<Pending> pending;
-    std::uint64_t first = 0;  // the number of the front of `pending`
-    std::size_t held = 0;     // bytes of answers in `pending` that wait for one before them
-    Time active{0};           // when it last sent a command, or connected
-    Time partial{0};          // since when it has been sending a command; 0: it is not
-    bool used = false;        // has sent a command
-    bool closing = false;     // its commands count no more, and it closes when all is answered
-    bool shut = false;        // all is answered, and it has been told that no more comes
-    bool paused = false;      // not read until it has taken some answers
-    bool woken = false;       // a turn of Wake is due
-    bool cut = false;         // a value was cut: nothing more goes out, and the rest is given up
-    EventPtr discard;         // of one that is closing: reads on and throws away
+    std::uint64_t first = 0;               // the number of the front of `pending`
+    std::size_t held = 0;                  // bytes of answers in `pending` that wait for one before them
+    Time active{0};                        // when it last sent a command, or connected
+    Time partial{0};                       // since when it has been sending a command; 0: it is not
+    bool used = false;                     // has sent a command
+    bool closing = false;                  // its commands count no more, and it closes when all is answered
+    ClientEnd why = ClientEnd::kByClient;  // of one that is closing
+    bool shut = false;                     // all is answered, and it has been told that no more comes
+    bool paused = false;                   // not read until it has taken some answers
+    bool woken = false;                    // a turn of Wake is due
+    bool cut = false;  // a value was cut: nothing more goes out, and the rest is given up
+    EventPtr discard;  // of one that is closing: reads on and throws away
     std::size_t discarded = 0;
     RestQueue* queue = nullptr;                // where it rests; null: it does not
     std::list<std::uint64_t>::iterator place;  // in it
@@ -96,7 +100,6 @@
   void Accept(evutil_socket_t fd);
   void MakeRoom();
   static bool Idle(const Client& s);
-  void TakeWaiting();
   void Pause();
   void Resume();
   void Read(Client& s);
@@ -112,12 +115,19 @@
   void Rouse(Client& s);
   void Trim(RestQueue& queue);
   void Expire(std::uint64_t id);
-  void Part(Client& s);
+  void Part(Client& s, ClientEnd why);
+  void Closing(Client& s, ClientEnd why);
   void HangUp(Client& s);
   void Discard(Client& s);
   int WayRank(const Client& s, Time now) const;
-  void Close(std::uint64_t id);
-  void CheckDrained(bool quiet_before);
+  void Close(std::uint64_t id, ClientEnd why);
+  void GiveUpPending(Client& s);
+  void RefuseLate(Client& s, const std::string& request);
+  bool TakeWaiting();
+  void StopListening();
+  void StopNow();
+  void EndWhenQuiet(bool quiet_before);
+  bool Quiet();
 
   Loop& loop_;
   Engine& engine_;
@@ -129,9 +139,10 @@
   Slots<std::unique_ptr<Client>> clients_;
   Slots<Ticket> tickets_;
   RestQueue once_, again_;  // by whether they have returned from a rest before
-  bool draining_ = false, listener_closed_ = false;
+  Shutdown shutdown_;
+  bool listener_closed_ = false;
   bool sending_away_ = false;
-  std::function<void()> drained_;
+  std::function<void()> stopped_;
 };
 
 }  // namespace brasswood
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -1,7 +1,9 @@
 // The core without sockets: slots, deadlines, and the engine between the real module and scripted ends.
 #include <catch2/catch.hpp>
+#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,6 +76,7 @@
   }
   void Open(std::uint64_t ticket, std::size_t length) override { opened[ticket] = length; }
   void Piece(std::uint64_t ticket, std::string_view bytes) override { pieces[ticket].append(bytes); }
+  bool Present(std::uint64_t ticket) const override { return !gone.contains(ticket); }
   std::size_t Backlog(std::uint64_t ticket) const override { return pieces.contains(ticket) ? 1 : 0; }
   void Start(AttemptId attempt, ServerId to, std::shared_ptr<const RequestContent>, Time,
              Time by) override {
@@ -92,6 +95,7 @@
   void FetchAll() override {}
 
   Engine* engine = nullptr;
+  std::set<std::uint64_t> gone;
   bool fail_at_once = false, left_whole = true;
   std::map<std::uint64_t, std::vector<AnswerKind>> answers;
   std::map<std::uint64_t, std::size_t> opened;
@@ -131,6 +135,9 @@
     }
     engine->Remember(list);
   }
+  bool Leaves(AttemptId attempt, const std::string& endpoint) const {
+    return engine->JudgeFirstByte(attempt, endpoint) == SendVerdict::kAllowed;
+  }
   RequestId Take(std::uint64_t ticket, int request_class = 0, const std::string& key = "k") {
     NewRequest request;
     request.content = std::make_shared<const RequestContent>(RequestContent{"i", key, "", "", false});
@@ -276,20 +283,72 @@
   news.entries.push_back(
       {asked == 0 ? "s1" : "s2", "127.0.0.1:1", 0, 0, 0, Availability::kDraining, 1, 0s});
   w.engine->Told(news);
-  CHECK(w.engine->MayWrite(there, "127.0.0.1:1"));  // an attempt made just before may still leave
+  CHECK(w.Leaves(there, "127.0.0.1:1"));  // an attempt made just before may still leave
   w.Take(8, 0, "another key");
   REQUIRE(w.ends.attempts.size() == 2);
   const auto [elsewhere, other] = w.ends.attempts[1];
   CHECK(other != asked);
   w.now += 501ms;
-  CHECK_FALSE(w.engine->MayWrite(there, "127.0.0.1:1"));
-  CHECK(w.engine->MayWrite(elsewhere, "127.0.0.1:1"));
-  CHECK_FALSE(w.engine->MayWrite(elsewhere, "127.0.0.1:2"));  // its server has moved since
+  CHECK_FALSE(w.Leaves(there, "127.0.0.1:1"));
+  CHECK(w.Leaves(elsewhere, "127.0.0.1:1"));
+  CHECK_FALSE(w.Leaves(elsewhere, "127.0.0.1:2"));  // its server has moved since
   w.To(w.now + 1s);
-  CHECK_FALSE(w.engine->MayWrite(elsewhere, "127.0.0.1:1"));  // and its time is over
+  CHECK_FALSE(w.Leaves(elsewhere, "127.0.0.1:1"));  // and its time is over
 }
 
 // Guards against a window that is looked at before a connection is made, and runs out while it comes up.
+TEST_CASE("no first byte goes out for a client that has gone, and its request ends") {
+  World w;
+  w.Take(1);
+  const AttemptId attempt = w.ends.attempts.back().first;
+  CHECK(w.Leaves(attempt, "127.0.0.1:1"));
+  w.ends.gone.insert(1);
+  CHECK(w.engine->JudgeFirstByte(attempt, "127.0.0.1:1") == SendVerdict::kClientGone);
+  w.engine->HeldBack(attempt, SendVerdict::kClientGone);
+  CHECK(w.engine->open_requests() == 0);
+  CHECK(w.ends.attempts.size() == 1);  // and is not tried elsewhere
+}
+
+TEST_CASE("what is open when the process has to end is failed, and nothing goes out again for it") {
+  World w;
+  for (std::uint64_t ticket = 1; ticket <= 3; ++ticket) w.Take(ticket, 0, "k" + std::to_string(ticket));
+  CHECK(w.engine->FailAll() == 3);
+  CHECK(w.engine->open_requests() == 0);
+  CHECK(w.ends.abandoned.size() == 3);
+  CHECK(w.ends.attempts.size() == 3);
+  for (std::uint64_t ticket = 1; ticket <= 3; ++ticket) {
+    CHECK(w.ends.answers[ticket] == std::vector<AnswerKind>{AnswerKind::kFailed});
+  }
+}
+
+TEST_CASE("an attempt that leaves against a rule is counted as a violation of it") {
+  struct Case {
+    Invariant broken;
+    std::function<void(World&, AttemptId)> before;
+  };
+  const Case cases[] = {
+      {Invariant::kCount, [](World&, AttemptId) {}},  // none
+      {Invariant::kSentInTime, [](World& w, AttemptId) { w.now += 900ms + Invariants::kMostHeldUp; }},
+      {Invariant::kSentToServing,
+       [](World& w, AttemptId) {
+         ServerList gone;
+         gone.rev = 9;
+         w.engine->Told(gone);
+         w.now += 1s;
+       }},
+  };
+  for (const Case& c : cases) {
+    World w;
+    w.Take(1);
+    const AttemptId attempt = w.ends.attempts.back().first;
+    c.before(w, attempt);
+    w.engine->AttemptLeft(attempt);
+    const Invariants& counted = w.counters.invariants;
+    CHECK((counted.violations() == 0) == (c.broken == Invariant::kCount));
+    if (c.broken != Invariant::kCount) CHECK(counted.violations(c.broken) == 1);
+  }
+}
+
 TEST_CASE("no first byte of a keyed repeat leaves once its window is over") {
   for (const Result first : {Result::kReset, Result::kFull}) {
     World w(200ms);
@@ -302,9 +361,9 @@
     const AttemptId again = w.ends.attempts[1].first;
     CHECK(w.ends.sent_by[1] - w.now == (first == Result::kReset ? 75ms : 800ms));
     w.now += 74ms;
-    CHECK(w.engine->MayWrite(again, "127.0.0.1:1"));
+    CHECK(w.Leaves(again, "127.0.0.1:1"));
     w.now += 2ms;  // the last byte takes its time to arrive
-    CHECK(w.engine->MayWrite(again, "127.0.0.1:1") == (first == Result::kFull));  // that one never ran
+    CHECK(w.Leaves(again, "127.0.0.1:1") == (first == Result::kFull));  // that one never ran
   }
 }
 
@@ -325,7 +384,7 @@
   REQUIRE(w.engine->Suspend("s1"));  // twice out
   CHECK(w.engine->FindServer(0)->availability == Availability::kDraining);
   w.now += 501ms;
-  CHECK_FALSE(w.engine->MayWrite(before, "127.0.0.1:1"));
+  CHECK_FALSE(w.Leaves(before, "127.0.0.1:1"));
   w.engine->AttemptEnded(before, {Result::kOk, {}, {}, "v"});
   ServerList again;  // discovery lists it in service all the same
   again.entries.push_back({"s1", "127.0.0.1:1", 0, 0, 0, Availability::kUp, 1, 0s});
--- a/tests/net/shutdown_test.cpp
+++ b/tests/net/shutdown_test.cpp
@@ -44,6 +44,7 @@
   CHECK(owed.Line().starts_with("SERVER_ERROR busy"));
   CHECK(owed.Line().starts_with("SERVER_ERROR busy"));
   CHECK(owed.Ended());
+  CHECK(router.process.err.Until("\n", " counters: ").find(" violations=0\n") != std::string::npos);
   CHECK(router.process.Wait() == 0);
   CHECK(std::chrono::steady_clock::now() - begun < 6s);
 }
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -58,6 +58,12 @@
         throw std::runtime_error("it never came; so far: " + read_);
     }
   }
+  // The first piece up to `end` that holds `what`.
+  std::string Until(const std::string& end, const std::string& what) {
+    std::string piece = Until(end);
+    while (!piece.empty() && piece.find(what) == piece.npos) piece = Until(end);
+    return piece;
+  }
   std::string Line() { return Until("\r\n"); }
   std::string Exactly(std::size_t n) {
     while (read_.size() < n) REQUIRE(More());
