Laboratory: a soak of faults that overlap, failing calls, clock steps; two failing tests

New on the timeline: routers that stand still, calls on sockets that fail or come short, wall clocks that are off, answers that state no length (half of them cut by a reset), clients that leave. The judge gains three checks: a request that comes over 0.7 s after SIGTERM is owed its answer before the kill, no attempt begins over 0.1 s after its client left, and half of the complete answers with no length are passed on; a router that the laboratory held up has that much more time.

--- a/lab/base/scenario.cpp
+++ b/lab/base/scenario.cpp
@@ -90,6 +90,8 @@
   f.age = Seconds(in.Number("age_s", 0, 0, kHour));
   f.disk =
       static_cast<DiskMode>(in.Word("disk", "full", {std::begin(kDiskNames), std::end(kDiskNames)}) + 1);
+  f.hold = Ms(in.Number("hold_ms", 100, 1, 150));
+  f.step = Seconds(in.Number("step_s", 0, -kHour, kHour));
   const bool link =
       f.kind == FaultKind::kLinkCut || f.kind == FaultKind::kLinkSlow || f.kind == FaultKind::kLinkLossy;
   const bool on_nodes = (f.kind <= FaultKind::kReplace && !f.origin) || link ||
@@ -102,8 +104,12 @@
   if (f.kind == FaultKind::kPartition && (f.size < 2 || f.size > 16)) {
     in.Complain("size", "must name between 2 and 16 groups");
   }
-  const bool on_routers =
-      f.kind == FaultKind::kKill || f.kind == FaultKind::kRestart || f.kind == FaultKind::kDisk;
+  const bool on_routers = f.kind == FaultKind::kKill || f.kind == FaultKind::kRestart ||
+                          f.kind == FaultKind::kDisk || f.kind == FaultKind::kHeldUp ||
+                          f.kind == FaultKind::kCalls || f.kind == FaultKind::kClock;
+  if (f.kind == FaultKind::kClock && f.step == Duration(0)) {
+    in.Complain("step_s", "is missing: by how much the clock is off");
+  }
   if ((f.kind == FaultKind::kDisk || f.kept != KeptAs::kKept) && !s.routers.state) {
     in.Complain("kind", "needs [routers] state = true");
   }
--- a/lab/base/scenario.h
+++ b/lab/base/scenario.h
@@ -124,16 +124,22 @@
   kPartition,    // routers and nodes fall into `size` groups that do not reach each other
   kMachineDrop,  // a machine with its node and the router on it vanishes, and starts again after the length
   kCapacityDrop,  // a neighbour takes `share` of the nodes' cores
-  kRestart,  // routers are stopped and begin again, in waves or more than once, with their state as said
-  kDisk,     // the disk of routers fails in one way or another
-  kFlood     // one address holds `size` silent connections at each router
+  kRestart,   // routers are stopped and begin again, in waves or more than once, with their state as said
+  kDisk,      // the disk of routers fails in one way or another
+  kFlood,     // one address holds `size` silent connections at each router
+  kHeldUp,    // routers stand still for `hold` every `every`
+  kCalls,     // `share` of the routers' calls on sockets fail, or do less than was asked
+  kClock,     // the routers' wall clock is off by `step`
+  kNoLength,  // `share` of the origin's answers state no length and end with their connection, some of them
+              // cut
+  kLeave      // `share` of the clients leave before they have their answer
 };
 inline constexpr std::string_view kFaultNames[] = {
-    "hang",           "slow",          "reset",     "refuse",     "half",
-    "garbage",        "silent",        "drain",     "replace",    "kill_router",
-    "discovery_down", "origin_stop",   "hot_key",   "burst",      "heavy",
-    "hall_cut",       "link_cut",      "link_slow", "link_lossy", "partition",
-    "machine_drop",   "capacity_drop", "restart",   "disk",       "flood"};
+    "hang",       "slow",      "reset",        "refuse",        "half",           "garbage",
+    "silent",     "drain",     "replace",      "kill_router",   "discovery_down", "origin_stop",
+    "hot_key",    "burst",     "heavy",        "hall_cut",      "link_cut",       "link_slow",
+    "link_lossy", "partition", "machine_drop", "capacity_drop", "restart",        "disk",
+    "flood",      "held_up",   "calls",        "clock",         "no_length",      "leave"};
 
 // What a router finds of its kept state when it begins again, and what list it is given.
 enum class KeptAs { kKept, kNone, kTorn, kNewer, kFuture, kOthers, kOld };
@@ -165,6 +171,8 @@
   KnownAs known = KnownAs::kFresh;
   Duration age{0};                  // of an old list, or old kept state
   DiskMode disk = DiskMode::kFull;  // kDisk
+  Duration hold{0};                 // kHeldUp
+  Duration step{0};                 // kClock; below 0: it is slow
 };
 
 // What the routers are told of the rules, and what the judge holds them to.
--- a/lab/load/load.cpp
+++ b/lab/load/load.cpp
@@ -223,6 +223,24 @@
     at.deadline = {};
     Finish(at, TryEnd::kOpen);
   });
+  MayLeave(c);
+}
+
+// A client may leave at any moment of its wait, so also right behind its last byte.
+void Load::MayLeave(const Connection& c) {
+  const TryRecord& t = truth_.tries[static_cast<std::size_t>(c.record)];
+  for (const FaultPlan& f : scenario_.faults) {
+    if (f.kind != FaultKind::kLeave || !Active(f, t.sent - start_) || !Chance(rng_, f.share)) continue;
+    const double part = Unit(rng_) * Unit(rng_);
+    const Time at =
+        t.sent + Duration(static_cast<std::int64_t>(static_cast<double>(t.wait.count()) * part));
+    (*connections_.Find(c.id))->leaves = loop_.deadlines().Set(at, [this, id = c.id] {
+      Connection& leaving = **connections_.Find(id);
+      leaving.leaves = {};
+      Finish(leaving, TryEnd::kLeft);
+    });
+    return;
+  }
 }
 
 void Load::OnRead(Connection& c) {
@@ -281,6 +299,7 @@
   t.ended = loop_.Now();
   c.record = -1;
   loop_.deadlines().Drop(c.deadline);
+  loop_.deadlines().Drop(c.leaves);
   const TryRecord done = t;
   const bool whole = end == TryEnd::kValue || end == TryEnd::kReceipt || end == TryEnd::kBusy ||
                      end == TryEnd::kFailed || end == TryEnd::kError;
@@ -303,7 +322,7 @@
   const Time now = loop_.Now();
   const bool served = t.end == TryEnd::kValue || t.end == TryEnd::kReceipt;
   const bool unreached = t.end == TryEnd::kUnreachable;
-  bool again = !served;
+  bool again = !served && t.end != TryEnd::kLeft;
   if (plan.repeats == Repeats::kNever) again = again && (t.end == TryEnd::kBusy || unreached);
   if (plan.repeats == Repeats::kKeyed) again = again && now < intent.at + plan.window;
   again = again && (unreached ? ++w.unreached <= kMostUnreached : w.tries < scenario_.load.retries);
@@ -341,6 +360,7 @@
   const std::unique_ptr<Connection> c = std::move(*held);
   connections_.Remove(id);
   loop_.deadlines().Drop(c->deadline);
+  loop_.deadlines().Drop(c->leaves);
   std::erase(idle_[c->client], id);
 }
 
--- a/lab/load/load.h
+++ b/lab/load/load.h
@@ -44,6 +44,7 @@
     bool used = false;      // has carried a try that was answered
     long long record = -1;  // the try that it carries; -1: none
     Deadlines::Id deadline;
+    Deadlines::Id leaves;  // its client closes it before the answer
     bool flood = false;
   };
   struct Work {  // an intent under way
@@ -57,6 +58,7 @@
   Connection* Open(int router, std::uint32_t client, bool flood);
   int PickRouter(int hall);
   void WriteTry(Connection& c);
+  void MayLeave(const Connection& c);
   void OnRead(Connection& c);
   void OnEvent(Connection& c, short what);
   void Finish(Connection& c, TryEnd end);
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <iostream>
 
+#include "lab/run/soak.h"
 #include "lab/run/studies.h"
 
 namespace {
@@ -151,6 +152,24 @@
       ->capture_default_str();
   ceiling->add_option("--out", study.folder, "Folder")->capture_default_str();
 
+  CLI::App* soak =
+      app.add_subcommand("soak", "Scenarios drawn from seeds, with faults that overlap in time");
+  SoakPlan soak_plan;
+  int soak_seeds = 10;
+  soak->add_option("--first", soak_plan.first, "The first seed")->capture_default_str();
+  soak->add_option("--seeds", soak_seeds, "How many")->check(CLI::Range(1, 100000))->capture_default_str();
+  soak->add_option("--least", soak_plan.least_routers, "Least routers")
+      ->check(CLI::Range(1, 250))
+      ->capture_default_str();
+  soak->add_option("--most", soak_plan.most_routers, "Most routers")
+      ->check(CLI::Range(1, 250))
+      ->capture_default_str();
+  soak->add_option("--seconds", soak_plan.length_s, "Length of each run")
+      ->check(CLI::Range(8.0, 600.0))
+      ->capture_default_str();
+  soak->add_option("--out", study.folder, "Folder for the runs that fail")->capture_default_str();
+  soak->add_option("--router", router, "The router's program and its arguments")->capture_default_str();
+
   CLI::App* check = app.add_subcommand("check", "Check scenario files");
   std::vector<std::string> files;
   check->add_option("scenarios", files, "Files")->required();
@@ -176,6 +195,11 @@
     }
     if (*capacity) exit = FindCapacity(study, side, aim, low, high, steps, std::cout);
     if (*ceiling) exit = FindCeiling(rate, seconds, study.folder, std::cout);
+    if (*soak) {
+      soak_plan.last = soak_plan.first + static_cast<std::uint64_t>(soak_seeds) - 1;
+      soak_plan.most_routers = std::max(soak_plan.most_routers, soak_plan.least_routers);
+      exit = RunSoak(soak_plan, study, side, std::cout);
+    }
     if (*check) {
       for (const std::string& file : files) {
         (void)LoadScenario(FindScenario(file));
--- /dev/null
+++ b/lab/preload/call_fault.cpp
@@ -0,0 +1,190 @@
+// Loaded into a router's process by the laboratory (LD_PRELOAD): a share of its calls on sockets fails in
+// ways that Linux documents, or does less than was asked, and its wall clock is off, while a small file,
+// mapped into both processes, says so. Errors that end a connection are given only on connections that the
+// process made itself, and end them: a client whose connection broke is owed nothing. Files and pipes are
+// left alone.
+#include <dlfcn.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/epoll.h>
+#include <sys/mman.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cerrno>
+#include <cstdlib>
+#include <ctime>
+
+#include "lab/preload/call_mode.h"
+
+namespace {
+
+using brasswood::lab::CallMode;
+
+template <class F>
+F Next(const char* name) {
+  return reinterpret_cast<F>(::dlsym(RTLD_NEXT, name));
+}
+
+const CallMode* Mode() {
+  static const CallMode* shared = [] {
+    const char* path = std::getenv("BRASSWOOD_LAB_CALL_MODE");
+    const int fd = path == nullptr ? -1 : ::open(path, O_RDONLY | O_CLOEXEC);
+    if (fd < 0) return static_cast<const CallMode*>(nullptr);
+    void* at = ::mmap(nullptr, sizeof(CallMode), PROT_READ, MAP_SHARED, fd, 0);
+    ::close(fd);
+    return at == MAP_FAILED ? nullptr : static_cast<const CallMode*>(at);
+  }();
+  return shared;
+}
+
+// Drawn from the seed in the environment and the number of the call; one a process, so that a run's draws
+// do not hang on its process ids.
+std::uint64_t Draw() {
+  static const std::uint64_t seed = [] {
+    const char* text = std::getenv("BRASSWOOD_LAB_CALL_SEED");
+    return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
+  }();
+  static std::atomic<std::uint64_t> calls{0};
+  std::uint64_t x = seed + ++calls * 0x9e3779b97f4a7c15ull;
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ull;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebull;
+  return x ^ (x >> 31);
+}
+
+bool Fails() {
+  const CallMode* mode = Mode();
+  const std::uint32_t share = mode == nullptr ? 0 : mode->per_mille.load();
+  return share > 0 && Draw() % 1000 < share;
+}
+
+template <std::size_t N>
+int Fail(const int (&errors)[N]) {
+  errno = errors[Draw() % N];
+  return -1;
+}
+
+constexpr int kMostDescriptors = 1 << 16;
+std::atomic<bool> g_made[kMostDescriptors];  // sockets that this process connected itself
+
+bool Made(int fd) { return fd >= 0 && fd < kMostDescriptors && g_made[fd]; }
+
+// The connection has timed out, as the kernel would have it.
+ssize_t TimedOut(int fd) {
+  ::shutdown(fd, SHUT_RDWR);
+  errno = ETIMEDOUT;
+  return -1;
+}
+
+enum class Trouble { kNone, kInterrupted, kShort, kDead };
+
+Trouble OnTransfer(int fd) {
+  if (!Fails()) return Trouble::kNone;
+  const std::uint64_t which = Draw() % 8;
+  if (which == 0 && Made(fd)) return Trouble::kDead;
+  return which < 4 ? Trouble::kInterrupted : Trouble::kShort;
+}
+
+}  // namespace
+
+extern "C" {
+
+int accept4(int fd, sockaddr* address, socklen_t* size, int flags) {
+  static const auto next = Next<int (*)(int, sockaddr*, socklen_t*, int)>("accept4");
+  if (Fails()) return Fail({ECONNABORTED, EMFILE, ENFILE, ENOBUFS, EINTR});
+  const int got = next(fd, address, size, flags);
+  if (got >= 0 && got < kMostDescriptors) g_made[got] = false;
+  return got;
+}
+
+int socket(int domain, int type, int protocol) {
+  static const auto next = Next<int (*)(int, int, int)>("socket");
+  if (domain == AF_INET && Fails()) return Fail({EMFILE, ENFILE, ENOBUFS});
+  const int got = next(domain, type, protocol);
+  if (got >= 0 && got < kMostDescriptors) g_made[got] = false;
+  return got;
+}
+
+int connect(int fd, const sockaddr* address, socklen_t size) {
+  static const auto next = Next<int (*)(int, const sockaddr*, socklen_t)>("connect");
+  if (Fails()) return Fail({EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH, ETIMEDOUT});
+  if (fd >= 0 && fd < kMostDescriptors) g_made[fd] = true;
+  return next(fd, address, size);
+}
+
+ssize_t readv(int fd, const iovec* parts, int count) {
+  static const auto next = Next<ssize_t (*)(int, const iovec*, int)>("readv");
+  switch (OnTransfer(fd)) {
+    case Trouble::kInterrupted:
+      return Fail({EINTR});
+    case Trouble::kDead:
+      return TimedOut(fd);
+    case Trouble::kShort: {
+      const iovec less{parts[0].iov_base, std::min<std::size_t>(parts[0].iov_len, 1 + Draw() % 7)};
+      return next(fd, &less, 1);
+    }
+    default:
+      return next(fd, parts, count);
+  }
+}
+
+ssize_t writev(int fd, const iovec* parts, int count) {
+  static const auto next = Next<ssize_t (*)(int, const iovec*, int)>("writev");
+  switch (OnTransfer(fd)) {
+    case Trouble::kInterrupted:
+      return Fail({EINTR});
+    case Trouble::kDead:
+      return TimedOut(fd);
+    case Trouble::kShort: {
+      const iovec less{parts[0].iov_base, std::min<std::size_t>(parts[0].iov_len, 1 + Draw() % 7)};
+      return next(fd, &less, 1);
+    }
+    default:
+      return next(fd, parts, count);
+  }
+}
+
+ssize_t recv(int fd, void* data, size_t size, int flags) {
+  static const auto next = Next<ssize_t (*)(int, void*, size_t, int)>("recv");
+  if (Fails()) return Fail({EINTR});
+  return next(fd, data, size, flags);
+}
+
+int poll(pollfd* polled, nfds_t count, int timeout) {
+  static const auto next = Next<int (*)(pollfd*, nfds_t, int)>("poll");
+  if (Fails()) return Fail({EINTR});
+  return next(polled, count, timeout);
+}
+
+int epoll_wait(int fd, epoll_event* events, int most, int timeout) {
+  static const auto next = Next<int (*)(int, epoll_event*, int, int)>("epoll_wait");
+  if (Fails()) return Fail({EINTR});
+  return next(fd, events, most, timeout);
+}
+
+int clock_gettime(clockid_t clock, timespec* time) {
+  static const auto next = Next<int (*)(clockid_t, timespec*)>("clock_gettime");
+  const int got = next(clock, time);
+  const CallMode* mode = Mode();
+  if (got != 0 || mode == nullptr || (clock != CLOCK_REALTIME && clock != CLOCK_REALTIME_COARSE))
+    return got;
+  constexpr std::int64_t kSecond = 1000000000;
+  const std::int64_t at = time->tv_sec * kSecond + time->tv_nsec + mode->wall_step_ns.load();
+  time->tv_sec = at / kSecond;
+  time->tv_nsec = at % kSecond;
+  return 0;
+}
+
+int gettimeofday(timeval* __restrict time, void* __restrict) noexcept {
+  timespec at{};
+  const int got = clock_gettime(CLOCK_REALTIME, &at);
+  time->tv_sec = at.tv_sec;
+  time->tv_usec = at.tv_nsec / 1000;
+  return got;
+}
+
+}  // extern "C"
--- a/lab/run/experiment.cpp
+++ b/lab/run/experiment.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <memory>
 #include <set>
 #include <thread>
@@ -99,6 +100,7 @@
       clients.join();
     }
     StopRouters();
+    ReadViolations();
     world_.Stop();
     platform.join();
     out_.truth.world = world_.TakeTruth();
@@ -135,6 +137,7 @@
     for (Absence& a : out_.truth.absences) {
       if (a.router == number && a.until == Time::max()) a.launched = clock_.Now();
     }
+    asked_.erase(number);  // it was its predecessor
     router.Start(world_.DiscoveryEndpoint(number), list);
   }
 
@@ -173,24 +176,81 @@
         const Duration at = f.at + wave + f.every * n;
         steps.push_back({at, [this, r, router, term = f.term] {
                            stopping_.insert(r);
+                           if (term && router->Running()) asked_[r] = clock_.Now();
                            if (term) return router->Terminate();
                            out_.truth.absences.push_back({r, clock_.Now(), Time::max(), Time(0)});
                            router->Kill();
                          }});
-        steps.push_back({at + f.down, [this, r, router, &f, others] {
-                           // One that was asked to stop and has not by now is gone from here on.
-                           if (f.term)
-                             out_.truth.absences.push_back({r, clock_.Now(), Time::max(), Time(0)});
-                           router->Kill();
-                           router->Prepare(f.kept, others);
-                           LaunchWith(*router, f.known, f.age);
-                           stopping_.erase(r);
-                           back_.push_back(r);
+        steps.push_back(
+            {at + f.down, [this, r, router, &f, others] {
+               // One that was asked to stop and has not by now is gone from here on.
+               if (f.term) {
+                 out_.truth.absences.push_back({r, clock_.Now(), Time::max(), Time(0), Asked(r)});
+               }
+               router->Kill();
+               router->Prepare(f.kept, others);
+               LaunchWith(*router, f.known, f.age);
+               stopping_.erase(r);
+               back_.push_back(r);
+             }});
+      }
+    }
+  }
+
+  // When this process was asked to stop; 0: it was not.
+  Time Asked(int router) const {
+    const auto it = asked_.find(router);
+    return it == asked_.end() ? Time(0) : it->second;
+  }
+
+  // Routers that stand still for a moment, again and again.
+  void HoldUps(const FaultPlan& f, std::size_t number, std::vector<Step>& steps) {
+    for (const int r : Killed(f, number)) {
+      RouterProcess* router = routers_[static_cast<std::size_t>(r)].get();
+      for (Duration at = f.at; at < f.at + f.length; at += f.every) {
+        steps.push_back({at, [this, r, router] {
+                           if (stopping_.contains(r)) return;
+                           out_.truth.holds.push_back({r, clock_.Now(), Time::max()});
+                           router->Freeze();
+                         }});
+        steps.push_back({at + f.hold, [this, r, router] {
+                           router->Thaw();
+                           for (Hold& h : out_.truth.holds) {
+                             if (h.router == r && h.until == Time::max()) h.until = clock_.Now();
+                           }
                          }});
       }
     }
   }
 
+  // Routers whose calls fail, or whose clock is off.
+  void Ail(const FaultPlan& f, std::size_t number, std::vector<Step>& steps) {
+    for (const int r : Killed(f, number)) {
+      RouterProcess* router = routers_[static_cast<std::size_t>(r)].get();
+      if (f.kind == FaultKind::kCalls) {
+        const auto per_mille = static_cast<std::uint32_t>(std::lround(f.share * 1000));
+        steps.push_back({f.at, [router, per_mille] { router->SetCalls(per_mille); }});
+        steps.push_back({f.at + f.length, [router] { router->SetCalls(0); }});
+      } else {
+        steps.push_back({f.at, [router, off = f.step] { router->SetClock(off); }});
+        steps.push_back({f.at + f.length, [router] { router->SetClock(Duration(0)); }});
+      }
+    }
+  }
+
+  // What the routers' own run-time checks say, from the logs of all their processes.
+  void ReadViolations() {
+    for (const std::string& file : out_.truth.router_logs) {
+      std::ifstream log(file);
+      int lines = 0;
+      for (std::string line; std::getline(log, line) && lines < 5;) {
+        if (line.find(" invariant violated: ") == line.npos) continue;
+        out_.troubles.push_back(file + ": " + line);
+        ++lines;
+      }
+    }
+  }
+
   // The routers' part of the timeline: kills, restarts, samples, progress.
   void Watch(Load& load, const std::atomic<bool>& done) {
     std::vector<Step> steps;
@@ -212,6 +272,10 @@
         }
       }
       if (f.kind == FaultKind::kRestart && !routers_.empty()) Restarts(f, i, steps);
+      if (f.kind == FaultKind::kHeldUp && !routers_.empty()) HoldUps(f, i, steps);
+      if ((f.kind == FaultKind::kCalls || f.kind == FaultKind::kClock) && !routers_.empty()) {
+        Ail(f, i, steps);
+      }
       if (f.kind == FaultKind::kDisk && !routers_.empty()) {
         for (const int r : Killed(f, i)) {
           RouterProcess* router = routers_[static_cast<std::size_t>(r)].get();
@@ -282,7 +346,11 @@
   }
 
   void StopRouters() {
-    for (const auto& router : routers_) router->Terminate();
+    for (const auto& router : routers_) {
+      router->SetCalls(0);
+      router->Thaw();
+      router->Terminate();
+    }
     for (std::size_t r = 0; r < routers_.size(); ++r) {
       const auto code = routers_[r]->Wait(std::chrono::seconds(15));
       if (!code && routers_[r]->Look())
@@ -303,10 +371,11 @@
   World world_;
   Outcome out_;
   std::vector<std::unique_ptr<RouterProcess>> routers_;
-  std::vector<int> back_;    // restarted, and not ready yet
-  std::set<int> stopping_;   // on the timeline's word, and not started again yet
-  std::size_t looked_ = 99;  // the turn of Look that was last
-  double idle_ = 1;          // of the machine's cores while the load ran
+  std::vector<int> back_;      // restarted, and not ready yet
+  std::map<int, Time> asked_;  // when each was last asked to stop
+  std::set<int> stopping_;     // on the timeline's word, and not started again yet
+  std::size_t looked_ = 99;    // the turn of Look that was last
+  double idle_ = 1;            // of the machine's cores while the load ran
   Duration played_{0};
 };
 
--- a/lab/run/router_process.cpp
+++ b/lab/run/router_process.cpp
@@ -54,6 +54,23 @@
   return fd;
 }
 
+// A file of that size, zeroed and mapped for sharing with a router's process. The mapping is the caller's.
+void* MapShared(const std::string& path, std::size_t size) {
+  const int fd = ::open(path.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+  if (fd < 0 || ::ftruncate(fd, static_cast<off_t>(size)) != 0)
+    throw std::runtime_error("cannot make " + path);
+  void* at = ::mmap(nullptr, size, PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+  ::close(fd);
+  if (at == MAP_FAILED) throw std::runtime_error("cannot map " + path);
+  return at;
+}
+
+bool Has(const Scenario& scenario, std::initializer_list<FaultKind> kinds) {
+  return std::any_of(scenario.faults.begin(), scenario.faults.end(), [&](const FaultPlan& f) {
+    return std::find(kinds.begin(), kinds.end(), f.kind) != kinds.end();
+  });
+}
+
 template <class Plans>
 double Shares(const Plans& plans) {
   return std::accumulate(plans.begin(), plans.end(), 0.0,
@@ -68,6 +85,9 @@
   reserved_ = Reserve("127.0." + std::to_string(3 + number / 250) + "." + std::to_string(1 + number % 250),
                       listen_);
   ::unlink(log().c_str());
+  if (Has(scenario, {FaultKind::kCalls, FaultKind::kClock})) {
+    call_mode_ = static_cast<CallMode*>(MapShared(log() + ".calls", sizeof(CallMode)));
+  }
   if (!scenario.routers.state) return;
   std::filesystem::remove_all(state_folder());
   std::filesystem::create_directories(state_folder());
@@ -76,19 +96,20 @@
   std::ofstream(state_folder() + ".json", std::ios::trunc)
       << R"({"state":{"folder":")" << std::filesystem::absolute(state_folder()).string()
       << R"(","every_ms":)" << every << "}}";
-  const int fd = ::open((state_folder() + ".disk").c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
-  if (fd < 0 || ::ftruncate(fd, sizeof(int)) != 0)
-    throw std::runtime_error("no file for the state of a disk");
-  void* at = ::mmap(nullptr, sizeof(int), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
-  ::close(fd);
-  if (at == MAP_FAILED) throw std::runtime_error("no file for the state of a disk");
-  disk_mode_ = static_cast<int*>(at);
+  disk_mode_ = static_cast<int*>(MapShared(state_folder() + ".disk", sizeof(int)));
 }
 
 void RouterProcess::SetDisk(DiskMode mode) {
   if (disk_mode_ != nullptr) std::atomic_ref<int>(*disk_mode_).store(static_cast<int>(mode));
 }
 
+void RouterProcess::SetCalls(std::uint32_t per_mille) {
+  if (call_mode_ != nullptr) call_mode_->per_mille = per_mille;
+}
+void RouterProcess::SetClock(Duration off) {
+  if (call_mode_ != nullptr) call_mode_->wall_step_ns = off.count();
+}
+
 void RouterProcess::KeepAside() {
   std::error_code none_yet;
   std::filesystem::copy_file(state_file(), state_file() + ".aside",
@@ -137,6 +158,7 @@
 RouterProcess::~RouterProcess() {
   Kill();
   if (disk_mode_ != nullptr) ::munmap(disk_mode_, sizeof(int));
+  if (call_mode_ != nullptr) ::munmap(call_mode_, sizeof(CallMode));
   ::close(reserved_);
 }
 
@@ -269,12 +291,20 @@
   }
   kept.push_back("PROXY_CONFIG=" + path);
   if (scenario_.routers.state) kept.push_back("BRASSWOOD_STATE=" + state_folder() + ".json");
-  const bool disks = std::any_of(scenario_.faults.begin(), scenario_.faults.end(),
-                                 [](const FaultPlan& f) { return f.kind == FaultKind::kDisk; });
-  if (disks) {
-    kept.push_back("LD_PRELOAD=" BRASSWOOD_LAB_DISK);
+  std::string preload;
+  if (Has(scenario_, {FaultKind::kDisk})) {
+    preload = BRASSWOOD_LAB_DISK;
     kept.push_back("BRASSWOOD_LAB_DISK_FOLDER=" + std::filesystem::absolute(state_folder()).string());
     kept.push_back("BRASSWOOD_LAB_DISK_MODE=" + state_folder() + ".disk");
+  }
+  if (call_mode_ != nullptr) {
+    preload += (preload.empty() ? "" : ":") + std::string(BRASSWOOD_LAB_CALLS);
+    kept.push_back("BRASSWOOD_LAB_CALL_MODE=" + log() + ".calls");
+    const auto drawn = Mix(scenario_.seed * 157 + static_cast<std::uint64_t>(number_ * 64 + starts_));
+    kept.push_back("BRASSWOOD_LAB_CALL_SEED=" + std::to_string(drawn));
+  }
+  if (!preload.empty()) {
+    kept.push_back("LD_PRELOAD=" + preload);
     // A router built with the address sanitizer wants to be the first library; here it is the second.
     const char* options = std::getenv("ASAN_OPTIONS");
     kept.push_back("ASAN_OPTIONS=" + (options == nullptr ? "" : std::string(options) + ":") +
@@ -342,6 +372,10 @@
   if (pid_ > 0) ::kill(pid_, SIGSTOP);
 }
 
+void RouterProcess::Thaw() {
+  if (pid_ > 0) ::kill(pid_, SIGCONT);
+}
+
 void RouterProcess::Terminate() {
   if (pid_ > 0) ::kill(pid_, SIGTERM);
 }
--- a/lab/run/router_process.h
+++ b/lab/run/router_process.h
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "lab/base/scenario.h"
+#include "lab/preload/call_mode.h"
 
 namespace brasswood::lab {
 
@@ -36,8 +37,14 @@
   // Does it answer `mn` with MN within `patience`?
   bool Ready(Duration patience) const;
   void Kill();    // -9, and waits for it
-  void Freeze();  // it says nothing more, as one on a machine that has vanished; Kill ends that
+  void Freeze();  // it says nothing more, as one on a machine that has vanished; Kill ends that, or Thaw
+  void Thaw();
+  // From now on so many of a thousand of its calls on sockets fail, and its wall clock is off by so much.
+  // Only where the scenario has faults of calls or clocks.
+  void SetCalls(std::uint32_t per_mille);
+  void SetClock(Duration off);
   void Terminate();
+  bool Running() const { return pid_ > 0; }
   // Its state folder as it is to find it at its next start. `others`: another router's file; `old`: put
   // aside by KeepAside some time before.
   void Prepare(KeptAs kept, const std::string& others);
@@ -62,8 +69,9 @@
   int number_;
   std::vector<std::string> command_;
   std::string folder_, listen_;
-  int reserved_ = -1;         // holds the port
-  int* disk_mode_ = nullptr;  // mapped: how its disk is
+  int reserved_ = -1;              // holds the port
+  int* disk_mode_ = nullptr;       // mapped: how its disk is
+  CallMode* call_mode_ = nullptr;  // mapped: how its calls and its clock are
   pid_t pid_ = -1;
   int starts_ = 0;
   double cpu_s_ = 0;
--- /dev/null
+++ b/lab/run/soak.cpp
@@ -0,0 +1,223 @@
+#include "lab/run/soak.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <vector>
+
+#include "lab/base/rng.h"
+
+namespace brasswood::lab {
+namespace {
+
+constexpr double kQuietStart = 1.5;  // seconds before the first fault
+constexpr double kStopSeconds =
+    3.7;  // from SIGTERM to SIGKILL: 3 s, the longest deadline that counts, and 0.7 s
+
+// A fault that the soak draws: its kind, for how long, and what else its table says.
+class FaultTable {
+ public:
+  FaultTable(Rng& rng, double end) : rng_(rng), end_(end) {}
+
+  double Between(double low, double high) { return low + (high - low) * Unit(rng_); }
+
+  void Begin(const char* kind, double least_s, double most_s) {
+    const double length = Between(least_s, most_s);
+    const double at = Between(kQuietStart, std::max(kQuietStart + 0.1, end_ - length));
+    text_ << "[[fault]]\nkind = \"" << kind << "\"\nat_s = " << at << "\nfor_s = " << length << "\n";
+  }
+  void Set(const char* key, double value) { text_ << key << " = " << value << "\n"; }
+  void Say(const char* key, const char* word) { text_ << key << " = \"" << word << "\"\n"; }
+  std::string text() const { return text_.str(); }
+
+ private:
+  Rng& rng_;
+  double end_;
+  std::ostringstream text_;
+};
+
+using Draw = void (*)(FaultTable&);
+
+// Every kind of trouble that a router has to go through with its rules kept.
+constexpr Draw kDraws[] = {
+    [](FaultTable& f) {
+      f.Begin("restart", 0, 2);
+      f.Set("part", f.Between(0.1, 0.5));
+      f.Say("signal", "term");
+      f.Set("down_ms", kStopSeconds * 1000);
+      f.Set("batch", f.Between(0.1, 0.5));
+    },
+    [](FaultTable& f) {
+      f.Begin("kill_router", 0.3, 2);
+      f.Set("part", f.Between(0.05, 0.4));
+    },
+    [](FaultTable& f) {
+      f.Begin("held_up", 1, 5);
+      f.Set("part", f.Between(0.1, 1));
+      f.Set("hold_ms", f.Between(40, 150));
+      f.Set("every_ms", f.Between(400, 1500));
+    },
+    [](FaultTable& f) {
+      f.Begin("calls", 0.5, 5);
+      f.Set("part", f.Between(0.1, 1));
+      f.Set("share", f.Between(0.01, 0.3));
+    },
+    [](FaultTable& f) {
+      f.Begin("clock", 1, 8);
+      f.Set("part", f.Between(0.1, 1));
+      f.Set("step_s", f.Between(-3600, 3600));
+    },
+    [](FaultTable& f) {
+      f.Begin("no_length", 2, 8);
+      f.Set("share", f.Between(0.2, 1));
+    },
+    [](FaultTable& f) {
+      f.Begin("leave", 1, 6);
+      f.Set("share", f.Between(0.05, 0.5));
+    },
+    [](FaultTable& f) {
+      f.Begin("hang", 1, 5);
+      f.Set("part", f.Between(0.1, 0.5));
+    },
+    [](FaultTable& f) {
+      f.Begin("reset", 1, 4);
+      f.Set("part", f.Between(0.1, 0.6));
+      f.Set("share", f.Between(0.05, 0.5));
+    },
+    [](FaultTable& f) {
+      f.Begin("half", 1, 4);
+      f.Set("part", f.Between(0.1, 0.6));
+      f.Set("share", f.Between(0.05, 0.4));
+    },
+    [](FaultTable& f) {
+      f.Begin("garbage", 1, 4);
+      f.Set("part", f.Between(0.1, 0.6));
+      f.Set("share", f.Between(0.05, 0.4));
+    },
+    [](FaultTable& f) {
+      f.Begin("silent", 0.5, 3);
+      f.Set("part", f.Between(0.1, 0.4));
+    },
+    [](FaultTable& f) {
+      f.Begin("refuse", 0.5, 3);
+      f.Set("part", f.Between(0.1, 0.3));
+    },
+    [](FaultTable& f) {
+      f.Begin("drain", 1.5, 4);
+      f.Set("part", f.Between(0.1, 0.4));
+    },
+    [](FaultTable& f) {
+      f.Begin("replace", 1, 4);
+      f.Set("part", f.Between(0.2, 0.6));
+      f.Set("batch", f.Between(0.1, 0.4));
+    },
+    [](FaultTable& f) { f.Begin("discovery_down", 0.5, 5); },
+    [](FaultTable& f) { f.Begin("origin_stop", 0.3, 2); },
+    [](FaultTable& f) {
+      f.Begin("link_lossy", 1, 4);
+      f.Set("part", f.Between(0.2, 1));
+      f.Set("router_part", f.Between(0.2, 1));
+      f.Set("share", f.Between(0.02, 0.2));
+    },
+    [](FaultTable& f) {
+      f.Begin("link_cut", 0.5, 3);
+      f.Set("part", f.Between(0.1, 0.5));
+      f.Set("router_part", f.Between(0.2, 1));
+      f.Say("way", f.Between(0, 1) < 0.5 ? "back" : "both");
+    },
+    [](FaultTable& f) {
+      f.Begin("burst", 0.5, 2);
+      f.Set("size", f.Between(1.5, 3));
+    },
+    [](FaultTable& f) {
+      f.Begin("hot_key", 1, 4);
+      f.Set("share", f.Between(0.1, 0.5));
+    },
+    [](FaultTable& f) {
+      f.Begin("flood", 0.5, 3);
+      f.Set("size", f.Between(20, 200));
+    },
+};
+
+std::string Site(const SoakPlan& plan, std::uint64_t seed, int routers) {
+  Rng rng = MakeRng(Mix(seed * 163), Stream::kNames);
+  FaultTable draw(rng, 0);
+  std::ostringstream out;
+  out << "name = \"soak-" << seed << "\"\nseed = " << seed << "\nlength_s = " << plan.length_s
+      << "\nwarm_up_s = 1\n"
+      << "[[class]]\nname = \"read\"\nshare = 0.7\nwork_ms = 4\nwork_cv = 0.5\naim_ms = 800\ngive_up_ms = "
+      << draw.Between(300, 2500) + 800 << "\n"
+      << "[[class]]\nname = \"look\"\nshare = 0.1\nwork_ms = 3\naim_ms = 200\ngive_up_ms = "
+      << draw.Between(200, 700) << "\n"
+      << "[[class]]\nname = \"publish\"\nshare = 0.1\nwork_ms = 4\naim_ms = 800\ngive_up_ms = "
+      << draw.Between(900, 4500) << "\nwrite = true\nrepeats = \"never\"\n"
+      << "[[class]]\nname = \"yank\"\nshare = 0.1\nwork_ms = 4\naim_ms = 500\ngive_up_ms = "
+      << draw.Between(600, 2000)
+      << "\nwrite = true\nrepeats = \"keyed\"\nwindow_ms = " << draw.Between(500, 7500) << "\n"
+      << "[[nodes]]\ncount = " << 4 + static_cast<int>(draw.Between(0, 9))
+      << "\ncores = 4\nwaiting = 100\nramp_ms = 8000\n"
+      << "[origin]\ncores = 16\nwork_ms = 15\nfall_multiple = 0\n"
+      << "[discovery]\nlate_ms = " << draw.Between(20, 800) << "\n"
+      << "[routers]\nper_hall = " << routers << "\nsockets = " << (draw.Between(0, 1) < 0.5 ? 256 : 512)
+      << "\n"
+      << "[load]\nrate = " << plan.rate * routers << "\nkeys = 300\nclients = " << 3 * routers
+      << "\nsize_bytes = " << draw.Between(200, 8000) << "\nretries = 1\nlate_limit_ms = 250\npool = \""
+      << (draw.Between(0, 1) < 0.7 ? "keep" : "drop") << "\"\n"
+      << "[rules]\nramp_ms = 10000\ndrain_grace_ms = " << (draw.Between(0, 1) < 0.3 ? 500 : 1000) << "\n";
+  return out.str();
+}
+
+}  // namespace
+
+std::string SoakScenario(const SoakPlan& plan, std::uint64_t seed) {
+  Rng rng = MakeRng(Mix(seed * 167), Stream::kFaults);
+  const auto span = static_cast<std::uint32_t>(plan.most_routers - plan.least_routers + 1);
+  const int routers = plan.least_routers + static_cast<int>(rng(span));
+  std::vector<Draw> draws(std::begin(kDraws), std::end(kDraws));
+  std::shuffle(draws.begin(), draws.end(), rng);
+  const std::size_t count = 3 + rng(6);
+  FaultTable faults(rng, plan.length_s - kStopSeconds - 1);
+  for (std::size_t i = 0; i < count; ++i) draws[i](faults);
+  return Site(plan, seed, routers) + faults.text();
+}
+
+Exit RunSoak(const SoakPlan& plan, const Study& study, const Side& side, std::ostream& out) {
+  std::uint64_t passed = 0, failed = 0, voided = 0;
+  for (std::uint64_t seed = plan.first; seed <= plan.last; ++seed) {
+    const std::string folder = study.folder + "/seed-" + std::to_string(seed);
+    std::filesystem::create_directories(folder);
+    const std::string text = SoakScenario(plan, seed), file = folder + "/scenario.toml";
+    std::ofstream(file, std::ios::trunc) << text;
+    const Scenario scenario = ReadScenario(text, file, study.overrides);
+    RunOptions options;
+    options.router = side.router;
+    options.folder = folder;
+    options.interrupted = study.interrupted;
+    Verdict verdict = Verdict::kVoid;
+    for (int go = 0; go < 2 && verdict == Verdict::kVoid; ++go) {
+      const Outcome outcome = RunOnce(scenario, options);
+      const Figures figures = Measure(outcome);
+      verdict = Decide(outcome, figures);
+      WriteAll(folder, outcome, figures);
+      out << "seed " << seed << ": " << Name(verdict) << ", " << scenario.routers.per_hall << " routers, "
+          << scenario.faults.size() << " faults, " << figures.asked << " requests\n";
+      for (const std::string& what : outcome.troubles) out << "  " << what << "\n";
+      for (const Breach& b : outcome.breaches) {
+        out << "  " << kRuleNames[static_cast<std::size_t>(b.rule)] << ": " << IdText(b.request) << " "
+            << b.what << "\n";
+      }
+      for (const std::string& why : outcome.void_because) out << "  void: " << why << "\n";
+      out << std::flush;
+    }
+    if (verdict == Verdict::kPartial) return Exit::kPartial;
+    passed += verdict == Verdict::kPassed;
+    failed += verdict == Verdict::kFailed;
+    voided += verdict == Verdict::kVoid;
+    if (verdict != Verdict::kFailed) std::filesystem::remove_all(folder);
+  }
+  out << passed << " passed, " << failed << " failed, " << voided << " void\n";
+  return failed > 0 ? Exit::kFailed : passed > 0 ? Exit::kFine : Exit::kVoid;
+}
+
+}  // namespace brasswood::lab
--- a/lab/truth/judge.cpp
+++ b/lab/truth/judge.cpp
@@ -11,6 +11,13 @@
 
 // What the platform's rules on sockets add to every limit on time.
 constexpr Duration kSocketSlack = std::chrono::milliseconds(50);
+// A request that comes later than this after its router was asked to stop has to have its answer before the
+// router may be killed.
+constexpr Duration kLateWork = std::chrono::milliseconds(700);
+// An attempt that begins later than this after its client left is work for nobody.
+constexpr Duration kGone = std::chrono::milliseconds(100);
+// Of so many complete answers with no stated length half at least are passed on.
+constexpr std::size_t kEnoughNoLength = 10;
 
 struct Request {
   const TryRecord* sent = nullptr;
@@ -32,6 +39,8 @@
 
   std::vector<Breach> Sit() {
     for (const TryRecord& t : truth_.load.tries) JudgeAnswer(t, requests_[t.id]);
+    for (const TryRecord& t : truth_.load.tries) JudgeGone(t, requests_[t.id]);
+    JudgeNoLength();
     for (const auto& [id, r] : requests_) JudgeOnce(id, r);
     JudgeDrains();
     JudgePushes();
@@ -49,14 +58,53 @@
   // Was the try's router taken away while the try was out?
   bool Excused(const TryRecord& t, Time until) const {
     return std::any_of(truth_.absences.begin(), truth_.absences.end(), [&](const Absence& a) {
-      return a.router == t.router && t.sent <= a.until && until >= a.from;
+      const bool late = a.asked != Time(0) && t.sent > a.asked + kLateWork && t.sent < a.from;
+      return !late && a.router == t.router && t.sent <= a.until && until >= a.from;
     });
   }
 
+  // For how long the router stood still in that time.
+  Duration Held(int router, Time from, Time until) const {
+    Duration all{0};
+    for (const Hold& h : truth_.holds) {
+      if (h.router != router) continue;
+      all += std::max(Duration(0), std::min(until, h.until) - std::max(from, h.from));
+    }
+    return all;
+  }
+
+  void JudgeGone(const TryRecord& t, const Request& r) {
+    if (t.end != TryEnd::kLeft) return;
+    for (const AttemptRecord* c : r.attempts) {
+      const Duration after = c->first - t.ended;
+      if (after <= kGone + slack_ + Held(t.router, t.ended, c->first)) continue;
+      Add(Rule::kAnswer, t.id, c->machine, c->first,
+          "an attempt begun " + InMs(after) + " after its client left");
+    }
+  }
+
+  void JudgeNoLength() {
+    std::size_t whole = 0, passed = 0;
+    for (const TryRecord& t : truth_.load.tries) {
+      for (const AttemptRecord* c : requests_[t.id].attempts) {
+        const Time due = t.sent + t.wait;
+        if (!c->no_length || t.end == TryEnd::kLeft || c->end > std::min(due, t.ended) || Excused(t, due))
+          continue;
+        ++whole;
+        passed += Served(t.end) && c->serial == t.serial;
+      }
+    }
+    if (whole < kEnoughNoLength || 2 * passed >= whole) return;
+    Add(Rule::kAnswer, 0, kOrigin, truth_.start,
+        "of " + std::to_string(whole) + " complete answers with no length " + std::to_string(passed) +
+            " were passed on");
+  }
+
   void JudgeAnswer(const TryRecord& t, const Request& r) {
     // Never taken, or cut off by the end of an interrupted run.
-    if (t.sent == Time(0) || t.ended == Time(0)) return;
-    const Time due = t.sent + t.wait + truth_.scenario.rules.answer_slack + slack_;
+    if (t.sent == Time(0) || t.ended == Time(0) || t.end == TryEnd::kLeft) return;
+    const Time due =
+        t.sent + t.wait + truth_.scenario.rules.answer_slack + slack_ + Held(t.router, t.sent, t.ended);
     if (Excused(t, t.ended)) return;
     switch (t.end) {
       case TryEnd::kOpen:
@@ -120,7 +168,7 @@
       if (plan.repeats != Repeats::kFree && first_run != Time(0)) {
         if (plan.repeats == Repeats::kNever) {
           Add(Rule::kOnce, id, c.machine, c.whole, "a write that may have run went out again");
-        } else if (c.whole > first_run + plan.window + slack_) {
+        } else if (c.whole > first_run + plan.window + slack_ + Held(c.router, first_run, c.whole)) {
           Add(Rule::kOnce, id, c.machine, c.whole, "a keyed write went out again after its window");
         }
       }
@@ -138,7 +186,7 @@
       const auto it = told.find({c.router, c.machine});
       if (it == told.end()) continue;
       const Duration after = c.first - it->second;
-      if (after > truth_.scenario.rules.drain_grace + slack_) {
+      if (after > truth_.scenario.rules.drain_grace + slack_ + Held(c.router, it->second, c.first)) {
         Add(Rule::kDrain, c.request, c.machine, c.first,
             "sent to " + Name(c.machine) + " " + InMs(after) + " after its router was told that it goes");
       }
--- a/lab/truth/truth.h
+++ b/lab/truth/truth.h
@@ -87,6 +87,7 @@
   Fate fate = Fate::kOpen;
   bool write = false;
   bool applied = false;      // a write that took effect
+  bool no_length = false;    // its answer stated no length and came whole, with an orderly close
   bool cold_miss = false;    // a fetch for a request that had missed at a cold node
   float work_s = 0;          // asked of the machine, in standard seconds
   std::uint32_t serial = 0;  // stands in the value or receipt made for it
@@ -134,9 +135,10 @@
   kBad,          // what cannot be read, or is no answer to this
   kClosed,       // the router closed the connection instead of answering
   kUnreachable,  // no connection came up; nothing was sent
+  kLeft,         // its client closed the connection before its answer came
 };
-inline constexpr std::string_view kTryNames[] = {"open",  "value",      "receipt", "busy",       "failed",
-                                                 "error", "unreadable", "closed",  "unreachable"};
+inline constexpr std::string_view kTryNames[] = {"open",  "value",      "receipt", "busy",        "failed",
+                                                 "error", "unreadable", "closed",  "unreachable", "left"};
 
 struct TryRecord {
   RequestId id = 0;
@@ -175,6 +177,13 @@
   int router = 0;
   Time from{0}, until{0};
   Time launched{0};  // when it was started again
+  Time asked{0};     // when it was asked to stop, some time before it was killed; 0: it was not
+};
+
+// A router stood still, by the laboratory's own doing.
+struct Hold {
+  int router = 0;
+  Time from{0}, until{0};
 };
 
 struct Truth {
@@ -183,6 +192,7 @@
   WorldTruth world;
   LoadTruth load;
   std::vector<Absence> absences;
+  std::vector<Hold> holds;
   std::vector<std::string> router_logs;  // by router: the file's name
 };
 
--- a/lab/world/machine.h
+++ b/lab/world/machine.h
@@ -21,6 +21,7 @@
   bool hang = false;
   double speed = 1;                         // of its own
   double reset = 0, half = 0, garbage = 0;  // shares of its answers
+  double no_length = 0;                     // likewise, of the origin's
 };
 
 class Machine : public Server {
--- a/lab/world/origin.cpp
+++ b/lab/world/origin.cpp
@@ -58,6 +58,32 @@
   }
 }
 
+// An answer, now and then one that states no length: half of these end with an orderly close and are whole,
+// the others are cut by a reset.
+void Origin::Reply(Peer& peer, std::size_t record, const std::string& body) {
+  if (!Chance(rng_, ailment().no_length)) {
+    return Conclude(peer, record, Fate::kServed, HttpReply(200, "", body));
+  }
+  const bool whole = Chance(rng_, 0.5);
+  const std::uint64_t id = peer.id;
+  const std::string text = "HTTP/1.1 200 OK\r\n\r\n" + (whole ? body : body.substr(0, body.size() / 2));
+  Conclude(peer, record, whole ? Fate::kServed : Fate::kSpoilt, text);
+  AttemptRecord& c = world_.truth().attempts[record];
+  c.no_length = whole && c.fate == Fate::kServed;
+  EndWhenWritten(id, whole);
+}
+
+void Origin::EndWhenWritten(std::uint64_t id, bool in_order) {
+  loop().deadlines().Set(loop().Now() + std::chrono::milliseconds(2), [this, id, in_order] {
+    Peer* peer = FindPeer(id);
+    if (peer == nullptr) return;
+    if (!in_order) return Break(*peer, true);
+    if (evbuffer_get_length(bufferevent_get_output(peer->buffer.get())) != 0)
+      return EndWhenWritten(id, true);
+    ::shutdown(bufferevent_getfd(peer->buffer.get()), SHUT_WR);
+  });
+}
+
 void Origin::Worked(Peer& peer, const Attempt& attempt) {
   AttemptRecord& c = world_.truth().attempts[attempt.record];
   const Pending pending = std::move(pending_[attempt.record]);
@@ -65,7 +91,7 @@
   if (!c.write) {
     world_.Stored(c.request, attempt.key);
     const std::string value = MakeValue(c.request, c.serial, SizeOf(world_.scenario(), attempt.key));
-    return Conclude(peer, attempt.record, Fate::kServed, HttpReply(200, "", value));
+    return Reply(peer, attempt.record, value);
   }
   const ClassPlan& plan = world_.scenario().classes[pending.request_class];
   const Time now = loop().Now();
@@ -79,7 +105,7 @@
     c.applied = true;
     world_.DropCopies(attempt.key);
   }
-  Conclude(peer, attempt.record, Fate::kServed, HttpReply(200, "", "r" + std::to_string(c.serial)));
+  Reply(peer, attempt.record, "r" + std::to_string(c.serial));
 }
 
 }  // namespace brasswood::lab
--- a/lab/world/origin.h
+++ b/lab/world/origin.h
@@ -15,6 +15,8 @@
 
  private:
   void OnBytes(Peer& peer) override;
+  void Reply(Peer& peer, std::size_t record, const std::string& body);
+  void EndWhenWritten(std::uint64_t peer, bool in_order);
   void Worked(Peer& peer, const Attempt& attempt) override;
 
   OriginPlan plan_;
--- a/lab/world/world.cpp
+++ b/lab/world/world.cpp
@@ -199,6 +199,9 @@
       return ail([&](Ailment& a) { a.half = fault.share; }, [](Ailment& a) { a.half = 0; });
     case FaultKind::kGarbage:
       return ail([&](Ailment& a) { a.garbage = fault.share; }, [](Ailment& a) { a.garbage = 0; });
+    case FaultKind::kNoLength:
+      origin_->ailment().no_length = fault.share;
+      return later([this] { origin_->ailment().no_length = 0; });
     case FaultKind::kRefuse: {
       const std::vector<CacheServer*> hit = Pick(fault, number);
       for (CacheServer* node : hit) node->Die();
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -186,6 +186,31 @@
   }
 }
 
+// Guards against a start that is refused for want of descriptors that are there a moment later.
+TEST_CASE("a router that finds no descriptor as it starts tries again, and serves") {
+  const std::string path = Temporary();
+  ::unlink(path.c_str());
+  REQUIRE(::mkfifo(path.c_str(), 0600) == 0);
+  Process router = Launch(path);
+  router.path = path;
+  Fd pipe(::open(path.c_str(), O_WRONLY | O_CLOEXEC));  // once the router reads it
+  ::unlink(path.c_str());
+  const rlimit few{4, 256}, enough{256, 256};
+  REQUIRE(::prlimit(router.pid, RLIMIT_NOFILE, &few, nullptr) == 0);
+  const std::string config = Router::Config("127.0.0.1:1", "");
+  REQUIRE(::write(pipe.get(), config.data(), config.size()) == static_cast<ssize_t>(config.size()));
+  pipe.Close();
+  std::this_thread::sleep_for(500ms);  // longer is as good, up to some seconds
+  REQUIRE(::prlimit(router.pid, RLIMIT_NOFILE, &enough, nullptr) == 0);
+  AwaitStart(router);
+  REQUIRE_FALSE(router.listen.empty());
+  Fd client = ConnectTo(router.listen);
+  client.Write("mn\r\n");
+  CHECK(client.Line() == "MN\r\n");
+  REQUIRE(::kill(router.pid, SIGTERM) == 0);
+  CHECK(router.Wait() == 0);
+}
+
 // ---- The end of a connection at rest, and of the process ----
 
 // Guards against answers that are lost behind a close: the client is slow to take them, and sends one
--- a/tests/net/message_end_test.cpp
+++ b/tests/net/message_end_test.cpp
@@ -1,7 +1,9 @@
 // Where an answer ends: what is complete by its protocol is passed on, what was cut never is (RFC 9112, 6.3
 // and 8).
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <string>
+#include <thread>
 
 #include "world.h"
 
@@ -71,3 +73,21 @@
     CHECK_FALSE(router.process.err.Until("s1 at " + node.address() + " is terminating").empty());
   }
 }
+
+// Guards against a reset that is taken for an orderly close: the router stands still while the answer is
+// cut, and looks at its deadlines before it reads.
+TEST_CASE("an answer with no length that is reset while the router stands still is not whole") {
+  Router router("");
+  Fd client = router.Connect();
+  client.Write(Publish("p", "a1", "body"));
+  Fd origin = router.origin.Accept();
+  origin.Until("body");
+  origin.Write("HTTP/1.1 200 OK\r\n\r\nrecei");
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));  // it is read, and the rest waited for
+  REQUIRE(::kill(router.process.pid, SIGSTOP) == 0);
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  Reset(origin);
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));  // past the time for the rest
+  REQUIRE(::kill(router.process.pid, SIGCONT) == 0);
+  CHECK(client.Line() == "SERVER_ERROR failed\r\n");
+}
