Keep a reset a reset, and start again where a lack of descriptors passes

Cause of the first: a look at a socket with recv(MSG_PEEK) took a pending ECONNRESET away, and the read after it said end of file, so an answer with no length that was cut passed for a whole one. It needs a look between the reset and the read: a process that was stopped comes back with EINTR from its poll and runs its deadlines first. Looks now use poll(2), which changes nothing. Cause of the second: any refused call at the start was thrown to main, and libevent ends the process itself where its pipe is refused.

Ruled out for the first: a read that says end of file by itself after a reset (it says ECONNRESET while nobody has taken the error).

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,11 +2,13 @@
 #include <pthread.h>
 #include <signal.h>
 
+#include <chrono>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
 #include <memory>
 #include <optional>
+#include <thread>
 
 #include "admin/operator.h"
 #include "admin/state_file.h"
@@ -20,6 +22,7 @@
 #include "net/discovery_watch.h"
 #include "net/door.h"
 #include "net/loop.h"
+#include "net/startup.h"
 #include "state/keeper.h"
 
 namespace {
@@ -138,6 +141,22 @@
   LogLine(Level::kInfo) << counters;
 }
 
+// Guards against a start that is refused for a lack that passes.
+void RunOnceItCan(const brasswood::Config& config, HeldSignals& signals) {
+  using namespace brasswood;
+  const auto until = std::chrono::steady_clock::now() + kStartPatience;
+  for (;;) {
+    try {
+      ProbeDescriptors();
+      return Run(config, signals);
+    } catch (const StartError& e) {
+      if (!e.passing() || std::chrono::steady_clock::now() >= until) throw;
+      LogLine(Level::kWarn) << "start put off: " << e.what();
+    }
+    std::this_thread::sleep_for(kStartPause);
+  }
+}
+
 }  // namespace
 
 int main() {
@@ -147,7 +166,7 @@
                     brasswood::ParseLevel(level == nullptr ? "" : level).value_or(brasswood::Level::kInfo));
   signal(SIGPIPE, SIG_IGN);
   try {
-    Run(brasswood::LoadConfig(), signals);
+    RunOnceItCan(brasswood::LoadConfig(), signals);
     return 0;
   } catch (const std::exception& e) {
     std::cerr << "brasswood: " << e.what() << '\n';
--- a/src/net/client_front.cpp
+++ b/src/net/client_front.cpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/log.h"
+#include "net/startup.h"
 #include "protocol/address.h"
 #include "protocol/meta.h"
 
@@ -36,7 +37,7 @@
       },
       this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_REUSEABLE_PORT | LEV_OPT_CLOSE_ON_EXEC,
       1024, reinterpret_cast<const sockaddr*>(&*at), sizeof *at));
-  if (!listener_) throw std::runtime_error("cannot listen on " + address + ": " + std::strerror(errno));
+  if (!listener_) throw StartError("cannot listen on " + address, errno);
   evconnlistener_set_error_cb(listener_.get(), [](evconnlistener*, void* self) {
     // Out of descriptors: the waiting connection stays readable.
     LogLine(Level::kWarn) << "cannot accept: " << std::strerror(EVUTIL_SOCKET_ERROR());
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -8,6 +8,7 @@
 #include <stdexcept>
 
 #include "base/log.h"
+#include "net/startup.h"
 #include "protocol/address.h"
 
 namespace brasswood {
@@ -23,7 +24,7 @@
       },
       this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, 64,
       reinterpret_cast<const sockaddr*>(&*at), sizeof *at));
-  if (!listener_) throw std::runtime_error("cannot listen on " + address + ": " + std::strerror(errno));
+  if (!listener_) throw StartError("cannot listen on " + address, errno);
   evconnlistener_set_error_cb(listener_.get(), [](evconnlistener*, void*) {
     LogLine(Level::kWarn) << "door: cannot accept: " << std::strerror(EVUTIL_SOCKET_ERROR());
   });
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,7 +1,9 @@
 #include "net/loop.h"
 
 #include <algorithm>
-#include <stdexcept>
+#include <cerrno>
+
+#include "net/startup.h"
 
 namespace brasswood {
 
@@ -18,7 +20,7 @@
 }  // namespace
 
 Loop::Loop(bool precise) : base_(MakeBase(precise)) {
-  if (!base_) throw std::runtime_error("cannot make an event loop");
+  if (!base_) throw StartError("cannot make an event loop", errno);
   timer_.reset(event_new(
       base_.get(), -1, 0,
       [](evutil_socket_t, short, void* self) {
@@ -28,7 +30,7 @@
         loop->Arm();
       },
       this));
-  if (!timer_) throw std::runtime_error("cannot make a timer");
+  if (!timer_) throw StartError("cannot make a timer", ENOMEM);
   deadlines_.OnEarlier([this] { Arm(); });
 }
 
@@ -73,7 +75,9 @@
         static_cast<Signal*>(s)->call();
       },
       signal.get()));
-  event_add(signal->event.get(), nullptr);
+  if (!signal->event || event_add(signal->event.get(), nullptr) != 0) {
+    throw StartError("cannot answer signals", errno);
+  }
   signals_.push_back(std::move(signal));
 }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -92,16 +92,25 @@
   std::vector<std::unique_ptr<Signal>> signals_;
 };
 
-// Does anything wait unread on this socket, be it bytes or the other side's close?
-inline bool Unread(evutil_socket_t fd) {
-  char byte;
-  return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+// What poll(2) says of one descriptor now, interrupted or not. Changes nothing: a recv, even a peek, takes
+// a pending error away, and a later read would then take the reset for an orderly end.
+inline short PollNow(evutil_socket_t fd, short events) {
+  constexpr int kMostInterruptions = 100;
+  pollfd p{fd, events, 0};
+  int got = -1;
+  for (int i = 0; got < 0 && i < kMostInterruptions; ++i) {
+    got = ::poll(&p, 1, 0);
+    if (got < 0 && errno != EINTR) break;
+  }
+  return got == 1 ? p.revents : short{0};
 }
 
+// Does anything wait unread on this socket, be it bytes or the other side's close?
+inline bool Unread(evutil_socket_t fd) { return PollNow(fd, POLLIN) != 0; }
+
 // Has the other side closed, or ended its sending? Tells it also while bytes that came before wait unread.
 inline bool PeerGone(evutil_socket_t fd) {
-  pollfd p{fd, POLLRDHUP, 0};
-  return ::poll(&p, 1, 0) == 1 && (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  return (PollNow(fd, POLLRDHUP) & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 // Bytes that were written and that the other side's kernel has not taken yet; 0 where that is not told.
