--- a/tests/lab/judge_test.cpp
+++ b/tests/lab/judge_test.cpp
@@ -106,6 +106,58 @@
          c.truth.absences.push_back({1, At(200), At(300)});
        },
        1, Rule::kAnswer},
+      {"taken early in a shutdown, and never answered by the router that was killed at its end",
+       [](Case& c) {
+         c.Try(1, 0, 600, 1500, TryEnd::kOpen);
+         c.truth.absences.push_back({0, At(1000), At(1300), Time(0), At(0)});
+       },
+       0, Rule::kAnswer},
+      {"taken late in a shutdown, and never answered",
+       [](Case& c) {
+         c.Try(1, 0, 750, 1500, TryEnd::kOpen);
+         c.truth.absences.push_back({0, At(1000), At(1300), Time(0), At(0)});
+       },
+       1, Rule::kAnswer},
+      {"late by less than its router stood still",
+       [](Case& c) {
+         c.Try(1, 0, 0, 650, TryEnd::kBusy);
+         c.truth.holds.push_back({0, At(400), At(520)});
+       },
+       0, Rule::kAnswer},
+      {"late, while another router stood still",
+       [](Case& c) {
+         c.Try(1, 0, 0, 650, TryEnd::kBusy);
+         c.truth.holds.push_back({1, At(400), At(520)});
+       },
+       1, Rule::kAnswer},
+      {"a client that left, and an attempt that began just then",
+       [](Case& c) {
+         c.Try(1, 0, 0, 100, TryEnd::kLeft);
+         c.Attempt(1, 1, 240, 300, Fate::kHit);
+       },
+       0, Rule::kAnswer},
+      {"an attempt begun long after its client left",
+       [](Case& c) {
+         c.Try(1, 0, 0, 100, TryEnd::kLeft);
+         c.Attempt(1, 1, 260, 300, Fate::kHit);
+       },
+       1, Rule::kAnswer},
+      {"half of the answers with no length passed on",
+       [](Case& c) {
+         for (RequestId id = 1; id <= 20; ++id) {
+           c.Try(id, 0, 0, 100, id % 2 == 0 ? TryEnd::kValue : TryEnd::kFailed);
+           c.Attempt(id, 0, 10, 50, Fate::kServed).no_length = true;
+         }
+       },
+       0, Rule::kAnswer},
+      {"fewer of them",
+       [](Case& c) {
+         for (RequestId id = 1; id <= 20; ++id) {
+           c.Try(id, 0, 0, 100, id % 3 == 0 ? TryEnd::kValue : TryEnd::kFailed);
+           c.Attempt(id, 0, 10, 50, Fate::kServed).no_length = true;
+         }
+       },
+       1, Rule::kAnswer},
       {"never sent", [](Case& c) { c.Try(1, 0, 0, 900, TryEnd::kUnreachable).sent = Time(0); }, 0,
        Rule::kAnswer},
       {"closed at rest, nothing sent on", [](Case& c) { c.Try(1, 0, 0, 5, TryEnd::kClosed).pooled = true; },
@@ -255,8 +307,8 @@
   for (const Row& row : rows) {
     INFO(row.what);
     Case c;
-    c.truth.load.intents.reserve(8);
-    c.truth.load.tries.reserve(8);
+    c.truth.load.intents.reserve(32);
+    c.truth.load.tries.reserve(32);
     row.fill(c);
     const std::vector<Breach> found = Judge(c.truth);
     CHECK(static_cast<int>(found.size()) == row.breaches);
--- a/tests/lab/parts_test.cpp
+++ b/tests/lab/parts_test.cpp
@@ -1,6 +1,8 @@
 // The laboratory's parts that need no socket.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <filesystem>
+#include <set>
 
 #include "lab/base/histogram.h"
 #include "lab/base/plan.h"
@@ -8,6 +10,7 @@
 #include "lab/load/answer.h"
 #include "lab/load/schedule.h"
 #include "lab/report/compare.h"
+#include "lab/run/soak.h"
 #include "lab/world/http_request.h"
 #include "lab/world/key_store.h"
 #include "lab/world/station.h"
@@ -245,3 +248,33 @@
   CHECK(EditDistance("length", "lenght") == 2);
   CHECK(EditDistance("same", "same") == 0);
 }
+
+TEST_CASE("the soak's scenarios are sound, the same for the same seed, and overlap faults of every kind") {
+  const SoakPlan plan;
+  std::set<FaultKind> kinds;
+  std::size_t overlapping = 0;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    const std::string text = SoakScenario(plan, seed);
+    CHECK(text == SoakScenario(plan, seed));
+    const Scenario s = ReadScenario(text, "soak");
+    CHECK(s.routers.per_hall >= plan.least_routers);
+    CHECK(s.routers.per_hall <= plan.most_routers);
+    for (const FaultPlan& f : s.faults) {
+      kinds.insert(f.kind);
+      CHECK(EndOf(f) < s.length);
+      overlapping += std::any_of(s.faults.begin(), s.faults.end(), [&f](const FaultPlan& other) {
+        return &other != &f && other.at < f.at + f.length && f.at < other.at + other.length;
+      });
+    }
+  }
+  CHECK(kinds.size() == 22);
+  CHECK(overlapping > 400);
+}
+
+TEST_CASE("faults of calls and clocks that cannot be meant are refused with their line") {
+  for (const char* fault : {"kind = \"clock\"\npart = 1", "kind = \"calls\"\nshare = 0.1",
+                            "kind = \"held_up\"\npart = 1\nhold_ms = 900", "kind = \"calls\"\nshare = 2"}) {
+    INFO(fault);
+    CHECK_FALSE(Wrong(kLeast + "[[fault]]\n" + fault).empty());
+  }
+}
