--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -154,6 +154,26 @@
   CHECK(std::stoi(line.substr(at + 3)) <= 5000 - 300);
 }
 
+// Guards against the same in front of a full table: a connection that is not accepted yet is taken all the
+// same, and what it brought waits.
+TEST_CASE("a request's time runs while its connection waits for a router that is full") {
+  Listener node, discovery;
+  InProcess router(Router::Config(discovery.address(), Target("s1", node.address(), "in_service")),
+                   [](Limits& l) {
+                     l.clients = 1;
+                     l.hurry = 300ms;
+                   });
+  Fd silent = router.Connect();
+  std::this_thread::sleep_for(50ms);  // it is in, and there is room for no other
+  Fd client = router.Connect();
+  client.Write(Read("k", "a1", 5000));
+  Fd attempt = node.Accept();  // once the silent one has made way
+  const std::string line = attempt.Line();
+  const std::size_t at = line.find(",d=");
+  REQUIRE(at != line.npos);
+  CHECK(std::stoi(line.substr(at + 3)) <= 5000 - 200);
+}
+
 // ---- The start of a process, while signals come ----
 
 // Guards against a process that a new configuration, or its planned end, meets in the middle of its start:
