Count the time that a request waited in the queue of a paused listener

Cause: with a full table the listener pauses, and what a connection brought waits in the kernel; its time was counted from the reading.

Ruled out: the loop's own lateness (its turns were short; the requests' first attempts began as soon as their connections were accepted).

Change: a connection that may have waited carries the moment since which the queue was not known to be empty, and the kernel's time since its last byte, between these bounds, tells when its first commands came.

--- a/src/net/client_front.cpp
+++ b/src/net/client_front.cpp
@@ -58,6 +58,9 @@
   if (listening_ || listener_closed_) return;
   listening_ = true;
   evconnlistener_enable(listener_.get());
+  // A turn of the loop accepts all that waits, unless it pauses again.
+  constexpr std::chrono::milliseconds kOneTurn(5);
+  queue_empty_ = loop_.deadlines().Set(loop_.Now() + kOneTurn, [this] { paused_since_ = Time(0); });
   MakeRoom();
 }
 
@@ -98,6 +101,8 @@
 void ClientFront::Pause() {
   if (!listening_) return;
   listening_ = false;
+  loop_.deadlines().Drop(queue_empty_);
+  if (paused_since_ == Time(0)) paused_since_ = loop_.Now();
   evconnlistener_disable(listener_.get());
   loop_.deadlines().Set(loop_.Now() + std::chrono::milliseconds(20), [this] { Resume(); });
 }
@@ -121,6 +126,7 @@
     return;
   }
   s.active = loop_.Now();
+  s.queued_since = paused_since_;
   s.id = clients_.Add(std::move(owned));
   ++counters_.clients;
   bufferevent_setcb(
@@ -173,6 +179,7 @@
     const Parsed got = ParseCommand(Gathered(s.buffer.get()), limits_, used, command);
     if (got == Parsed::kMore) {
       const bool begun = evbuffer_get_length(bufferevent_get_input(s.buffer.get())) != 0;
+      s.queued_since = Time(0);
       if (!begun) s.partial = Time(0);
       if (begun && s.partial == Time(0)) s.partial = loop_.Now();
       if (begun) Rouse(s);  // one that sends a command, however slowly, is not at rest
@@ -213,10 +220,22 @@
   Wake(id);
 }
 
+// Guards against answers that come after their client has gone: a request that waited in the queue of a
+// paused listener has waited by the time it is read. The kernel knows for how long, between the bounds.
+Time ClientFront::Arrived(const Client& s) {
+  const Time now = loop_.Now();
+  if (s.queued_since == Time(0)) return loop_.Arrived();
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  const evutil_socket_t fd = bufferevent_getfd(s.buffer.get());
+  if (::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return s.queued_since;
+  return std::max(s.queued_since, now - std::chrono::milliseconds(info.tcpi_last_data_recv));
+}
+
 void ClientFront::Begin(Client& s, RequestContent content) {
   NewRequest request;
   std::string error = DescribeRequest(std::move(content), names_, limits_, request);
-  request.arrived = loop_.Arrived();
+  request.arrived = Arrived(s);
   // Guards against two requests of one id: the answers of servers are told apart by it, and the first
   // request's client, perhaps another one, must be served as if nothing had happened.
   if (error.empty() && engine_.Holds(request.content->id)) error = "this id is in use";
--- a/src/net/client_front.h
+++ b/src/net/client_front.h
@@ -72,11 +72,14 @@
     std::uint64_t id = 0;
     BufferPtr buffer;
     std::deque<Pending> pending;
-    std::uint64_t first = 0;               // the number of the front of `pending`
-    std::size_t held = 0;                  // bytes of answers in `pending` that wait for one before them
-    Time active{0};                        // when it last sent a command, or connected
-    Time partial{0};                       // since when it has been sending a command; 0: it is not
-    bool used = false;                     // has sent a command
+    std::uint64_t first = 0;  // the number of the front of `pending`
+    std::size_t held = 0;     // bytes of answers in `pending` that wait for one before them
+    Time active{0};           // when it last sent a command, or connected
+    Time partial{0};          // since when it has been sending a command; 0: it is not
+    bool used = false;        // has sent a command
+    // Of one that may have waited in the queue of a paused listener: the earliest moment at which what its
+    // first read finds can have come; 0: none.
+    Time queued_since{0};
     bool closing = false;                  // its commands count no more, and it closes when all is answered
     ClientEnd why = ClientEnd::kByClient;  // of one that is closing
     bool shut = false;                     // all is answered, and it has been told that no more comes
@@ -104,6 +107,7 @@
   void Resume();
   void Read(Client& s);
   void Begin(Client& s, RequestContent content);
+  Time Arrived(const Client& s);
   void Reply(Client& s, std::string text);
   void Flush(Client& s);
   Pending* PendingOf(std::uint64_t ticket, Client*& s);
@@ -136,6 +140,8 @@
   Counters& counters_;
   std::unique_ptr<evconnlistener, void (*)(evconnlistener*)> listener_;
   bool listening_ = true;
+  Time paused_since_{0};       // the queue was last known to be empty then; 0: it is
+  Deadlines::Id queue_empty_;  // after a pause: nothing of it is left
   Slots<std::unique_ptr<Client>> clients_;
   Slots<Ticket> tickets_;
   RestQueue once_, again_;  // by whether they have returned from a rest before
