--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -154,6 +154,23 @@
   CHECK(std::stoi(line.substr(at + 3)) <= 5000 - 300);
 }
 
+// Guards against deadlines that act before what came in time has been read: a poll that a stop interrupts
+// returns with deadlines due and nothing else.
+TEST_CASE("an answer that came in time counts though its router stood still past the request's time") {
+  Listener node;
+  Router router(Target("s1", node.address(), "in_service"));
+  Fd client = router.Connect();
+  client.Write(Read("k", "a1", 1000));
+  Fd attempt = node.Accept();
+  attempt.Line();
+  REQUIRE(::kill(router.process.pid, SIGSTOP) == 0);
+  std::this_thread::sleep_for(50ms);
+  attempt.Write("VA 1 Oa1\r\nx\r\n");
+  std::this_thread::sleep_for(1200ms);  // past the request's time; longer is as good
+  REQUIRE(::kill(router.process.pid, SIGCONT) == 0);
+  CHECK(client.Line() == "VA 1 Oa1\r\n");
+}
+
 // Guards against the same in front of a full table: a connection that is not accepted yet is taken all the
 // same, and what it brought waits.
 TEST_CASE("a request's time runs while its connection waits for a router that is full") {
