Read what has come before overdue deadlines act

Cause: a poll that a stop interrupted returns with nothing but the time, so in a process that stood still the deadlines ran before answers, closes and lists that had come meanwhile. An answer that had come in time was thrown away, and a client's close was found after another attempt had been begun for it.

Change: deadlines that are overdue by over 10 ms wait for one more turn of the loop, in which all that is readable is read.

--- a/src/net/client_front.cpp
+++ b/src/net/client_front.cpp
@@ -363,7 +363,7 @@
   }
   if ((s.paused || s.closing || shutdown_.begun() || sending_away_) && !s.woken) {
     s.woken = true;
-    loop_.deadlines().Set(Time(0), [this, id = s.id] { Wake(id); });
+    loop_.deadlines().Set(loop_.Now(), [this, id = s.id] { Wake(id); });
   }
 }
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <utility>
 
 #include "net/startup.h"
 
@@ -26,8 +27,7 @@
       [](evutil_socket_t, short, void* self) {
         auto* loop = static_cast<Loop*>(self);
         loop->NoteCallback();
-        loop->deadlines_.Run(loop->Now());
-        loop->Arm();
+        loop->RunDeadlines();
       },
       this));
   if (!timer_) throw StartError("cannot make a timer", ENOMEM);
@@ -55,6 +55,23 @@
   return now - std::clamp(since, Duration(0), std::max(Duration(0), now - polls_.entered()));
 }
 
+// Guards against deadlines that act on what has changed long ago: in a process that stood still, answers
+// and closes may wait unread, and a poll that a stop interrupted tells of none. So overdue deadlines are
+// put off by one turn, in which all that is readable is read first.
+void Loop::RunDeadlines() {
+  constexpr std::chrono::milliseconds kOverdue(10);
+  const auto next = deadlines_.Next();
+  const bool overdue = next && Now() - *next > kOverdue;
+  if (overdue && !std::exchange(put_off_, true)) {
+    const timeval at_once{};
+    event_add(timer_.get(), &at_once);
+    return;
+  }
+  put_off_ = false;
+  deadlines_.Run(Now());
+  Arm();
+}
+
 void Loop::Arm() {
   const auto next = deadlines_.Next();
   if (!next) return;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -76,11 +76,13 @@
 
  private:
   void Arm();
+  void RunDeadlines();
   Time PollReturned();
 
   Clock clock_;
   PollTimes polls_;
   bool stopped_ = false;
+  bool put_off_ = false;  // overdue deadlines wait for one more turn
   std::unique_ptr<event_base, EventFree> base_;
   Deadlines deadlines_;
   EventPtr timer_;
