--- a/tests/net/router_test.cpp
+++ b/tests/net/router_test.cpp
@@ -469,6 +469,32 @@
   CHECK_FALSE(process.err.Until("s1 at " + node.address() + " is terminating").empty());
 }
 
+// Guards against news that discovery has written and that its connection has lost: it counts as told.
+TEST_CASE("a watch whose connection breaks is opened anew at once, once, however large the fleet") {
+  const auto config = [](const std::string& discovery) {
+    std::string text = Router::Config(discovery, "");
+    text.replace(text.find(R"("balancers":1,)"), 14, R"("balancers":60000,)");
+    text.replace(text.find(R"("ask_within":10000000000)"), 24, R"("ask_within":10000000000000)");
+    return text;  // first calls, and those after a refusal, spread over 50 minutes
+  };
+  Listener node, nobody, discovery;
+  Process process = Start(config(nobody.address()), nobody.address());
+  process.Reload(config(discovery.address()));
+  Fd watch = discovery.Accept();
+  WatchCall(watch);
+  const std::string list = Http(List(7, true, Target("s1", node.address(), "in_service")));
+  watch.Write(list);
+  for (const std::string& begun : {std::string(), list.substr(0, list.size() / 2)}) {
+    WatchCall(watch);
+    watch.Write(begun);
+    watch.Close();
+    Fd anew = discovery.Accept();
+    CHECK(WatchCall(anew).starts_with("GET /api/targets?since=7&timeout_ms=0 "));
+    anew.Write(list);
+    watch = std::move(anew);
+  }
+}
+
 TEST_CASE("a full table: idle clients make way, and requests past the limit are told to come back") {
   Listener node;
   Router router(Target("s1", node.address(), "in_service"), 40);  // 15 connections a side, 14 requests
