Open a watch on discovery anew at once where its connection breaks

Cause: a watch that broke waited like a refused call, as long as the fleet is large; one that falls silent is opened anew at once.

Ruled out: the reading of what came (nothing had been read); the module's own wait (it spreads calls that discovery refuses, which is right).

--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -106,7 +106,7 @@
         if (what & BEV_EVENT_CONNECTED) return watch->AwaitAnswer();
         // An orderly close ends an answer that states no length.
         if ((what & BEV_EVENT_EOF) && watch->TakeAnswer(InputEnd::kClosed) != Parsed::kMore) return;
-        watch->Refuse("connection lost");
+        watch->Lost("connection lost");
       },
       this);
   bufferevent_setwatermark(buffer_.get(), EV_READ, 0, limits_.list + limits_.http_head);
@@ -124,7 +124,12 @@
 void DiscoveryWatch::OnRead() {
   if (TakeAnswer(InputEnd::kOpen) != Parsed::kMore) return;
   // Guards against an answer that stops half way: once begun, it is whole soon.
-  if (!std::exchange(begun_, true)) Await(limits_.call_answer, "an answer that stops half way");
+  if (std::exchange(begun_, true)) return;
+  loop_.deadlines().Drop(deadline_);
+  deadline_ = loop_.deadlines().Set(loop_.Now() + limits_.call_answer, [this] {
+    deadline_ = {};
+    Lost("an answer that stops half way");
+  });
 }
 
 // kMore: it is not whole yet, and nothing has changed. Otherwise the call has ended, in one way or another.
@@ -179,6 +184,22 @@
   Call();
 }
 
+// Guards against news that is lost on its way: what discovery has written counts as told. A watch that
+// broke is opened anew at once, each router's a little apart, as discovery may have lost them all. Where
+// that call fails, too, it is a refusal like others.
+void DiscoveryWatch::Lost(const char* why) {
+  if (!calling_ || !Waits()) return Refuse(why);
+  LogLine(Level::kWarn) << "discovery: " << why << ", the watch is opened anew";
+  buffer_.reset();
+  anew_ = true;
+  loop_.deadlines().Drop(deadline_);
+  const auto apart = std::chrono::duration_cast<Duration>(phase_ * limits_.watch_spread / 2);
+  deadline_ = loop_.deadlines().Set(loop_.Now() + apart, [this] {
+    deadline_ = {};
+    Call();
+  });
+}
+
 void DiscoveryWatch::Refuse(const std::string& why) {
   LogLine(Level::kWarn) << "discovery: " << why;
   loop_.deadlines().Drop(deadline_);
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -43,6 +43,7 @@
   Parsed TakeAnswer(InputEnd input);
   void TakeList(HttpAnswer answer, std::size_t used, InputEnd input);
   void Silent();
+  void Lost(const char* why);
   void Refuse(const std::string& why);
 
   Loop& loop_;
