Tell a dead process's mark by its standing still, not by the wall clock

Cause: a mark's time was compared with the wall clock, so that after a step back by an hour the mark of a killed process counted as alive for an hour, and its successor kept to half of the router's limits.

Change: a mark counts while it is seen to change, by the steady clock.

Measured: the new test fails before and passes now.

--- a/lab/world/server.h
+++ b/lab/world/server.h
@@ -113,6 +113,7 @@
   void SetPeers(int router, Link before, Link link);
   void Accept(Listener& at);
   void ReadFrom(Peer& peer);
+  Time LastByteCame(const Peer& peer) const;
   void Lose(Peer& peer);
 
   Loop& loop_;
--- a/src/admin/live_marks.cpp
+++ b/src/admin/live_marks.cpp
@@ -29,17 +29,26 @@
     fs::last_write_time(own_, fs::file_time_type::clock::now(), error);
   }
   std::size_t alive = 1;
-  const auto now = fs::file_time_type::clock::now();
+  const auto now = std::chrono::steady_clock::now();
   for (fs::directory_iterator it(directory_, error), end; !error && it != end; it.increment(error)) {
     const std::string file = it->path().filename().string();
     if (!file.starts_with(prefix_) || it->path().string() == own_) continue;
-    std::error_code old;
-    const auto at = fs::last_write_time(it->path(), old);
-    if (old) continue;
-    if (now - at <= stale_) {
+    std::error_code gone;
+    const auto renewed = fs::last_write_time(it->path(), gone);
+    if (gone) continue;
+    // A mark seen for the first time that was not renewed just now is most likely a dead process's; a
+    // living one changes it within a beat.
+    const auto age = fs::file_time_type::clock::now() - renewed;
+    const bool recent = age <= stale_ && age >= -stale_;
+    const auto since = recent ? now : now - 2 * stale_;
+    const auto [mark, fresh] = seen_.try_emplace(file, Seen{renewed, since});
+    if (!fresh && mark->second.renewed != renewed) mark->second = {renewed, now};
+    const auto unchanged = now - mark->second.at;
+    if (unchanged <= stale_) {
       ++alive;
-    } else if (now - at > 10 * stale_) {
-      fs::remove(it->path(), old);  // of a process long gone: killed, it could not take it away itself
+    } else if (unchanged > 10 * stale_) {
+      fs::remove(it->path(), gone);  // of a process long gone: killed, it could not take it away itself
+      seen_.erase(mark);
     }
   }
   return alive;
--- a/tests/net/door_test.cpp
+++ b/tests/net/door_test.cpp
@@ -458,3 +458,19 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(400));
   CHECK(mine.Beat() == 1);  // the other stopped renewing its mark
 }
+
+TEST_CASE("a mark of a process that has gone counts no more, though the clock was set back since") {
+  char path[] = "/tmp/brasswood-live-XXXXXX";
+  REQUIRE(::mkdtemp(path) != nullptr);
+  LiveMarks mine(path, "n1", std::chrono::milliseconds(100));
+  const std::string other = std::string(path) + "/brasswood-n1.live.999999";
+  std::ofstream(other) << "999999\n";
+  CHECK(mine.Beat() == 2);
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  CHECK(mine.Beat() == 1);
+  const auto later = std::filesystem::file_time_type::clock::now() + std::chrono::hours(1);
+  std::filesystem::last_write_time(other, later);  // renewed, by another clock
+  CHECK(mine.Beat() == 2);
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  CHECK(mine.Beat() == 1);
+}
