--- a/lab/run/experiment.cpp
+++ b/lab/run/experiment.cpp
@@ -127,7 +127,10 @@
 
   void Launch(RouterProcess& router) { LaunchWith(router, KnownAs::kFresh, Duration(0)); }
 
+  // Guards against a second process of one router, where two faults that overlap would each start it again:
+  // the laboratory would lose sight of the first, and clients would go on reaching it.
   void LaunchWith(RouterProcess& router, KnownAs known, Duration age) {
+    if (router.Running()) return;
     const int number = static_cast<int>(
         std::find_if(routers_.begin(), routers_.end(), [&](const auto& r) { return r.get() == &router; }) -
         routers_.begin());
