--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The usual tasks. PROXY_CONFIG (and the other PROXY_* variables) go to `make run` as they are.
-.PHONY: build test lint run lab demo fleet
+.PHONY: build test lint run lab demo fleet soak
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
@@ -24,6 +24,12 @@
 demo: lab
 	build/lab/brasswood-lab run demo --out lab-out/demo
 
+# Randomized faults over 10 to 40 routers, a quarter of a minute a seed: make soak FIRST=1 SEEDS=200
+FIRST ?= 1
+SEEDS ?= 40
+soak: lab
+	build/lab/brasswood-lab soak --first $(FIRST) --seeds $(SEEDS) --out lab-out/soak
+
 # The full set of large fleets, some minutes; rules and expectations are judged for each.
 fleet: lab
 	for s in fleet-equal fleet-unequal fleet-300 fleet-quarter-cut fleet-links fleet-partition fleet-machine-drop \
