--- a/src/net/client_front.cpp
+++ b/src/net/client_front.cpp
@@ -250,6 +250,8 @@
   s.pending.push_back(std::move(pending));
   const std::uint64_t ticket = tickets_.Add({s.id, number});
   s.pending.back().ticket = ticket;
+  const bool late = shutdown_.begun() && loop_.Now() > shutdown_.last_new_work() + Invariants::kMostHeldUp;
+  counters_.invariants.Expect(!late, Invariant::kNoLateWork, s.pending.back().id);
   const RequestId id = engine_.Take(*this, ticket, std::move(request));
   if (id == 0) return Deliver(ticket, {AnswerKind::kRefused, {}, limits_.max_retry_after / 4});
   if (tickets_.Find(ticket) != nullptr) s.pending[number - s.first].request = id;
