--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -154,6 +154,27 @@
   CHECK(std::stoi(line.substr(at + 3)) <= 5000 - 300);
 }
 
+// Guards against the same where the loop itself cannot tell: it waits with no deadline near, and is
+// stopped.
+TEST_CASE(
+    "a request's time counts from its arrival at a router that is stopped while it has nothing to do") {
+  Listener node;
+  Router router(Target("s1", node.address(), "in_service"));
+  Fd client = router.Connect();
+  client.Write("mn\r\n");
+  CHECK(client.Line() == "MN\r\n");
+  REQUIRE(::kill(router.process.pid, SIGSTOP) == 0);
+  std::this_thread::sleep_for(20ms);
+  client.Write(Read("k", "a1", 5000));
+  std::this_thread::sleep_for(150ms);  // longer is as good
+  REQUIRE(::kill(router.process.pid, SIGCONT) == 0);
+  Fd attempt = node.Accept();
+  const std::string line = attempt.Line();
+  const std::size_t at = line.find(",d=");
+  REQUIRE(at != line.npos);
+  CHECK(std::stoi(line.substr(at + 3)) <= 5000 - 120);
+}
+
 // Guards against deadlines that act before what came in time has been read: a poll that a stop interrupts
 // returns with deadlines due and nothing else.
 TEST_CASE("an answer that came in time counts though its router stood still past the request's time") {
