Take a request's arrival from the kernel where the loop cannot tell it

Cause: a process that is stopped while it waits, with no deadline near, cannot see from its polls that it stood still; 150 ms of waiting were told as none.

Change: the time since the kernel took the last byte bounds a request's arrival, by 0.2 s at most; not for what waited behind answers of its own connection.

Ruled out: a regular wake-up while idle (it would cost every router 40 turns a second).

--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -64,6 +64,7 @@
   Duration linger{std::chrono::milliseconds(500)};        // after SIGTERM, new work is taken this long,
   Duration stop_within{
       std::chrono::milliseconds(3500)};                 // and all is answered and the process ends by then
+  Duration held_up{std::chrono::milliseconds(200)};     // a process may have stood still for so long
   Duration last_words{std::chrono::milliseconds(50)};   // then, for answers on their way
   Duration max_retry_after{0};                          // 0: clients are not told when to come back
   Duration door_call{std::chrono::milliseconds(500)};   // a door call is whole this soon after its accept
--- a/src/net/client_front.cpp
+++ b/src/net/client_front.cpp
@@ -134,6 +134,7 @@
       [](bufferevent*, void* p) {
         auto* at = static_cast<Client*>(p);
         at->front->loop_.NoteCallback();
+        at->resumed = false;
         at->front->Read(*at);
       },
       [](bufferevent*, void* p) {  // all written
@@ -220,16 +221,17 @@
   Wake(id);
 }
 
-// Guards against answers that come after their client has gone: a request that waited in the queue of a
-// paused listener has waited by the time it is read. The kernel knows for how long, between the bounds.
+// Guards against answers that come after their client has gone: what is read has waited before a paused
+// listener, or while the process stood still. The loop's own polls bound it; where they cannot tell, the
+// kernel can. What waited behind answers of its own connection is not counted.
 Time ClientFront::Arrived(const Client& s) {
   const Time now = loop_.Now();
-  if (s.queued_since == Time(0)) return loop_.Arrived();
-  tcp_info info{};
-  socklen_t size = sizeof info;
-  const evutil_socket_t fd = bufferevent_getfd(s.buffer.get());
-  if (::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return s.queued_since;
-  return std::max(s.queued_since, now - std::chrono::milliseconds(info.tcpi_last_data_recv));
+  const bool queued = s.queued_since != Time(0);
+  const auto unread = SinceLastByte(bufferevent_getfd(s.buffer.get()));
+  if (queued) return unread ? std::max(s.queued_since, now - *unread) : s.queued_since;
+  const Time arrived = loop_.Arrived();
+  if (!unread || s.resumed) return arrived;
+  return std::min(arrived, now - std::min(*unread, limits_.held_up));
 }
 
 void ClientFront::Begin(Client& s, RequestContent content) {
@@ -389,6 +391,7 @@
   if (s.paused && !Full(s)) {
     s.paused = false;
     bufferevent_enable(s.buffer.get(), EV_READ);
+    s.resumed = true;
     return Read(s);
   }
   if (s.cut && !s.pending.empty()) {
--- a/src/net/client_front.h
+++ b/src/net/client_front.h
@@ -84,6 +84,7 @@
     ClientEnd why = ClientEnd::kByClient;  // of one that is closing
     bool shut = false;                     // all is answered, and it has been told that no more comes
     bool paused = false;                   // not read until it has taken some answers
+    bool resumed = false;                  // what is read now waited behind its own answers
     bool woken = false;                    // a turn of Wake is due
     bool cut = false;  // a value was cut: nothing more goes out, and the rest is given up
     EventPtr discard;  // of one that is closing: reads on and throws away
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -6,6 +6,8 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -14,6 +16,7 @@
 #include <cerrno>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -115,6 +118,14 @@
   return (PollNow(fd, POLLRDHUP) & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+// How long ago the kernel took the last byte from the other side; nothing where it does not tell.
+inline std::optional<Duration> SinceLastByte(evutil_socket_t fd) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return std::nullopt;
+  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 // Bytes that were written and that the other side's kernel has not taken yet; 0 where that is not told.
 inline int Untaken(evutil_socket_t fd) {
   int bytes = 0;
