--- a/tests/lab/judge_test.cpp
+++ b/tests/lab/judge_test.cpp
@@ -262,6 +262,28 @@
          for (int i = 0; i < 4; ++i) c.Attempt(1, 1, 10 + 10 * i, 15 + 10 * i, Fate::kTurnedAway);
        },
        1, Rule::kOnce},
+      {"as many as are allowed, and one more for what its client sent once more",
+       [](Case& c) {
+         c.Try(1, 0, 0, 45, TryEnd::kClosed).pooled = true;
+         c.truth.absences.push_back({0, At(44), At(500)});
+         TryRecord& t = c.Try(1, 0, 50, 100, TryEnd::kFailed);
+         t.resent = true;
+         t.router = 1;
+         for (int i = 0; i < 3; ++i) c.Attempt(1, 1, 10 + 10 * i, 15 + 10 * i, Fate::kTurnedAway);
+         c.Attempt(1, 1, 60, 65, Fate::kTurnedAway);
+       },
+       0, Rule::kOnce},
+      {"one too many for what its client sent once more",
+       [](Case& c) {
+         c.Try(1, 0, 0, 45, TryEnd::kClosed).pooled = true;
+         c.truth.absences.push_back({0, At(44), At(500)});
+         TryRecord& t = c.Try(1, 0, 50, 100, TryEnd::kFailed);
+         t.resent = true;
+         t.router = 1;
+         c.Attempt(1, 1, 10, 15, Fate::kTurnedAway);
+         for (int i = 0; i < 4; ++i) c.Attempt(1, 1, 55 + 10 * i, 60 + 10 * i, Fate::kTurnedAway);
+       },
+       1, Rule::kOnce},
       {"an attempt that no client asked for", [](Case& c) { c.Attempt(7, 1, 10, 20, Fate::kHit); }, 1,
        Rule::kOnce},
 
