--- a/tests/net/router_test.cpp
+++ b/tests/net/router_test.cpp
@@ -1,4 +1,6 @@
 // The program on real sockets: one test for each of the four rules, then what clients and operators see.
+#include <sys/resource.h>
+
 #include <catch2/catch.hpp>
 #include <string>
 #include <thread>
@@ -8,6 +10,18 @@
 
 using namespace brasswood::testing;
 
+namespace {
+
+// Of a fleet so large that first calls for the list, and those after a refusal, spread over 50 minutes.
+std::string LargeFleet(const std::string& discovery) {
+  std::string text = Router::Config(discovery, "");
+  text.replace(text.find(R"("balancers":1,)"), 14, R"("balancers":60000,)");
+  text.replace(text.find(R"("ask_within":10000000000)"), 24, R"("ask_within":10000000000000)");
+  return text;
+}
+
+}  // namespace
+
 TEST_CASE("rule 1: every request is answered once, in time, also when its server says nothing") {
   Listener node;
   Router router(Target("s1", node.address(), "in_service"));
@@ -448,15 +462,9 @@
 // Guards against a list that grows old while a large fleet's calls are spread: a broken watch is no
 // refusal.
 TEST_CASE("a watch that falls silent is opened anew at once, however large the fleet") {
-  const auto config = [](const std::string& discovery) {
-    std::string text = Router::Config(discovery, "");
-    text.replace(text.find(R"("balancers":1,)"), 14, R"("balancers":60000,)");
-    text.replace(text.find(R"("ask_within":10000000000)"), 24, R"("ask_within":10000000000000)");
-    return text;  // first calls, and those after a refusal, spread over 50 minutes
-  };
   Listener node, nobody, discovery;
-  Process process = Start(config(nobody.address()), nobody.address());
-  process.Reload(config(discovery.address()));
+  Process process = Start(LargeFleet(nobody.address()), nobody.address());
+  process.Reload(LargeFleet(discovery.address()));
   Fd watch = discovery.Accept();
   WatchCall(watch);
   watch.Write(Http(List(7, true, Target("s1", node.address(), "in_service"))));
@@ -471,15 +479,9 @@
 
 // Guards against news that discovery has written and that its connection has lost: it counts as told.
 TEST_CASE("a watch whose connection breaks is opened anew at once, once, however large the fleet") {
-  const auto config = [](const std::string& discovery) {
-    std::string text = Router::Config(discovery, "");
-    text.replace(text.find(R"("balancers":1,)"), 14, R"("balancers":60000,)");
-    text.replace(text.find(R"("ask_within":10000000000)"), 24, R"("ask_within":10000000000000)");
-    return text;  // first calls, and those after a refusal, spread over 50 minutes
-  };
   Listener node, nobody, discovery;
-  Process process = Start(config(nobody.address()), nobody.address());
-  process.Reload(config(discovery.address()));
+  Process process = Start(LargeFleet(nobody.address()), nobody.address());
+  process.Reload(LargeFleet(discovery.address()));
   Fd watch = discovery.Accept();
   WatchCall(watch);
   const std::string list = Http(List(7, true, Target("s1", node.address(), "in_service")));
@@ -495,6 +497,25 @@
   }
 }
 
+// Guards against a lack of this router's own that waits like a refusal of discovery's.
+TEST_CASE("a call to discovery for which there is no descriptor is made as soon as there is one") {
+  Listener node, nobody, discovery;
+  Process process = Start(LargeFleet(nobody.address()), nobody.address());
+  process.Reload(LargeFleet(discovery.address()));
+  Fd watch = discovery.Accept();
+  WatchCall(watch);
+  watch.Write(Http(List(7, true, Target("s1", node.address(), "in_service"))));
+  WatchCall(watch);
+  const rlimit none{3, 256}, enough{256, 256};
+  REQUIRE(::prlimit(process.pid, RLIMIT_NOFILE, &none, nullptr) == 0);
+  watch.Close();
+  CHECK_FALSE(process.err.Until("cannot connect").empty());
+  REQUIRE(::prlimit(process.pid, RLIMIT_NOFILE, &enough, nullptr) == 0);
+  Fd anew = discovery.Accept();
+  // Not put off as a refusal, after which the next call would wait for news.
+  CHECK(WatchCall(anew).starts_with("GET /api/targets?since=7&timeout_ms=0 "));
+}
+
 TEST_CASE("a full table: idle clients make way, and requests past the limit are told to come back") {
   Listener node;
   Router router(Target("s1", node.address(), "in_service"), 40);  // 15 connections a side, 14 requests
