Call discovery again soon where this router lacked a connection to call on

Cause: a lack of the router's own was told to the module as a refusal of discovery's, whose calls are spread.

Change: such a call is made again every 50 ms, for a second, and only then counts as refused.

--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -68,14 +68,30 @@
   } else {
     Connect();
   }
-  if (!buffer_) {  // reported at once, but not from inside the module's own action
-    Await(Duration(0), "cannot connect");
-    return;
-  }
+  if (!buffer_) return CallAgainSoon();
+  lacks_ = 0;
   const std::string text = WriteGet(address_, ListPath(fetch_ ? std::nullopt : rev_, Wait()));
   bufferevent_write(buffer_.get(), text.data(), text.size());
 }
 
+// Guards against news unheard for a lack of this router's own (no descriptor, no route for a moment):
+// unlike a refusal it costs discovery nothing to try again, and nothing is to be spread. A lack that lasts
+// is told to the module like a refusal, later, and not from inside its own action.
+void DiscoveryWatch::CallAgainSoon() {
+  constexpr int kMostLacks = 20;
+  constexpr std::chrono::milliseconds kPause(50);
+  if (++lacks_ > kMostLacks) {
+    lacks_ = 0;
+    return Await(Duration(0), "cannot connect");
+  }
+  if (lacks_ == 1) LogLine(Level::kWarn) << "discovery: cannot connect, tried again";
+  loop_.deadlines().Drop(deadline_);
+  deadline_ = loop_.deadlines().Set(loop_.Now() + kPause, [this] {
+    deadline_ = {};
+    Call();
+  });
+}
+
 void DiscoveryWatch::Await(Duration most, const char* what) {
   loop_.deadlines().Drop(deadline_);
   deadline_ = loop_.deadlines().Set(loop_.Now() + most, [this, what] {
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -44,6 +44,7 @@
   void TakeList(HttpAnswer answer, std::size_t used, InputEnd input);
   void Silent();
   void Lost(const char* why);
+  void CallAgainSoon();
   void Refuse(const std::string& why);
 
   Loop& loop_;
@@ -57,6 +58,7 @@
   bool calling_ = false;  // a call is out
   bool begun_ = false;    // its answer has begun to come
   bool ask_first_ = false;
+  int lacks_ = 0;      // calls in a row for which this router had no connection to make
   bool anew_ = false;  // it opens a watch that fell silent
   const double phase_;
   BufferPtr buffer_;
