--- a/tests/net/router_test.cpp
+++ b/tests/net/router_test.cpp
@@ -497,6 +497,23 @@
   }
 }
 
+// Guards against a drain unheard past its grace while connections break one after the other.
+TEST_CASE("a watch is opened anew soon though the call that was to open it broke as well") {
+  Listener node, nobody, discovery;
+  Process process = Start(LargeFleet(nobody.address()), nobody.address());
+  process.Reload(LargeFleet(discovery.address()));
+  Fd watch = discovery.Accept();
+  WatchCall(watch);
+  watch.Write(Http(List(7, true, Target("s1", node.address(), "in_service"))));
+  WatchCall(watch);
+  watch.Close();
+  Fd anew = discovery.Accept();
+  WatchCall(anew);
+  anew.Close();
+  Fd again = discovery.Accept();
+  CHECK(WatchCall(again).starts_with("GET /api/targets?since=7&timeout_ms=0 "));
+}
+
 // Guards against a lack of this router's own that waits like a refusal of discovery's.
 TEST_CASE("a call to discovery for which there is no descriptor is made as soon as there is one") {
   Listener node, nobody, discovery;
