Fold repeated code: the watch's deadline, waking all clients, the shim's transfers

No change of behaviour. The watch on discovery set its one deadline in five places alike; the shutdown had a copy of the loop that operators' drain uses; readv and writev of the failing calls were twins.

--- a/lab/preload/call_fault.cpp
+++ b/lab/preload/call_fault.cpp
@@ -89,6 +89,24 @@
   return which < 4 ? Trouble::kInterrupted : Trouble::kShort;
 }
 
+using Transfer = ssize_t (*)(int, const iovec*, int);
+
+// A read or write of the system's, or what ails it.
+ssize_t Transferred(Transfer next, int fd, const iovec* parts, int count) {
+  switch (OnTransfer(fd)) {
+    case Trouble::kInterrupted:
+      return Fail({EINTR});
+    case Trouble::kDead:
+      return TimedOut(fd);
+    case Trouble::kShort: {
+      const iovec less{parts[0].iov_base, std::min<std::size_t>(parts[0].iov_len, 1 + Draw() % 7)};
+      return next(fd, &less, 1);
+    }
+    default:
+      return next(fd, parts, count);
+  }
+}
+
 }  // namespace
 
 extern "C" {
@@ -117,35 +135,13 @@
 }
 
 ssize_t readv(int fd, const iovec* parts, int count) {
-  static const auto next = Next<ssize_t (*)(int, const iovec*, int)>("readv");
-  switch (OnTransfer(fd)) {
-    case Trouble::kInterrupted:
-      return Fail({EINTR});
-    case Trouble::kDead:
-      return TimedOut(fd);
-    case Trouble::kShort: {
-      const iovec less{parts[0].iov_base, std::min<std::size_t>(parts[0].iov_len, 1 + Draw() % 7)};
-      return next(fd, &less, 1);
-    }
-    default:
-      return next(fd, parts, count);
-  }
+  static const auto next = Next<Transfer>("readv");
+  return Transferred(next, fd, parts, count);
 }
 
 ssize_t writev(int fd, const iovec* parts, int count) {
-  static const auto next = Next<ssize_t (*)(int, const iovec*, int)>("writev");
-  switch (OnTransfer(fd)) {
-    case Trouble::kInterrupted:
-      return Fail({EINTR});
-    case Trouble::kDead:
-      return TimedOut(fd);
-    case Trouble::kShort: {
-      const iovec less{parts[0].iov_base, std::min<std::size_t>(parts[0].iov_len, 1 + Draw() % 7)};
-      return next(fd, &less, 1);
-    }
-    default:
-      return next(fd, parts, count);
-  }
+  static const auto next = Next<Transfer>("writev");
+  return Transferred(next, fd, parts, count);
 }
 
 ssize_t recv(int fd, void* data, size_t size, int flags) {
--- a/src/net/client_endings.cpp
+++ b/src/net/client_endings.cpp
@@ -174,7 +174,11 @@
 void ClientFront::SendAway(bool on) {
   if (sending_away_ == on) return;
   sending_away_ = on;
-  if (!on) return;
+  if (on) WakeAll();
+}
+
+// Each ends, if it is idle and has to; the table changes meanwhile.
+void ClientFront::WakeAll() {
   std::vector<std::uint64_t> all;
   clients_.Each([&](std::uint64_t id, auto&) { all.push_back(id); });
   for (const std::uint64_t id : all) Wake(id);
--- a/src/net/client_front.h
+++ b/src/net/client_front.h
@@ -114,6 +114,7 @@
   Pending* PendingOf(std::uint64_t ticket, Client*& s);
   bool Full(const Client& s) const;
   void Wake(std::uint64_t id);
+  void WakeAll();
   void LookForEnd(Client& s);
   void Await(Client& s);
   void Rest(Client& s);
--- a/src/net/client_shutdown.cpp
+++ b/src/net/client_shutdown.cpp
@@ -14,9 +14,7 @@
   if (shutdown_.begun()) return;
   shutdown_.Begin(loop_.Arrived());
   stopped_ = std::move(done);
-  std::vector<std::uint64_t> all;
-  clients_.Each([&](std::uint64_t id, auto&) { all.push_back(id); });
-  for (const std::uint64_t id : all) Wake(id);
+  WakeAll();
   loop_.deadlines().Set(shutdown_.last_new_work(), [this] { StopListening(); });
   loop_.deadlines().Set(shutdown_.time_up(), [this] { StopNow(); });
 }
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -85,29 +85,26 @@
     return Await(Duration(0), "cannot connect");
   }
   if (lacks_ == 1) LogLine(Level::kWarn) << "discovery: cannot connect, tried again";
+  After(kPause, [this] { Call(); });
+}
+
+// Runs `then` after that time, in place of whatever the call waited for.
+void DiscoveryWatch::After(Duration wait, std::function<void()> then) {
   loop_.deadlines().Drop(deadline_);
-  deadline_ = loop_.deadlines().Set(loop_.Now() + kPause, [this] {
+  deadline_ = loop_.deadlines().Set(loop_.Now() + wait, [this, run = std::move(then)] {
     deadline_ = {};
-    Call();
+    run();
   });
 }
 
 void DiscoveryWatch::Await(Duration most, const char* what) {
-  loop_.deadlines().Drop(deadline_);
-  deadline_ = loop_.deadlines().Set(loop_.Now() + most, [this, what] {
-    deadline_ = {};
-    Refuse(what);
-  });
+  After(most, [this, what] { Refuse(what); });
 }
 
 // Its own limit: a discovery that has fallen silent keeps the connection open and never answers.
 void DiscoveryWatch::AwaitAnswer() {
   if (!Waits()) return Await(limits_.call_answer, "no answer in time");
-  loop_.deadlines().Drop(deadline_);
-  deadline_ = loop_.deadlines().Set(loop_.Now() + Wait() + limits_.call_grace, [this] {
-    deadline_ = {};
-    Silent();
-  });
+  After(Wait() + limits_.call_grace, [this] { Silent(); });
 }
 
 void DiscoveryWatch::Connect() {
@@ -141,11 +138,7 @@
   if (TakeAnswer(InputEnd::kOpen) != Parsed::kMore) return;
   // Guards against an answer that stops half way: once begun, it is whole soon.
   if (std::exchange(begun_, true)) return;
-  loop_.deadlines().Drop(deadline_);
-  deadline_ = loop_.deadlines().Set(loop_.Now() + limits_.call_answer, [this] {
-    deadline_ = {};
-    Lost("an answer that stops half way");
-  });
+  After(limits_.call_answer, [this] { Lost("an answer that stops half way"); });
 }
 
 // kMore: it is not whole yet, and nothing has changed. Otherwise the call has ended, in one way or another.
@@ -208,12 +201,8 @@
   LogLine(Level::kWarn) << "discovery: " << why << ", the watch is opened anew";
   buffer_.reset();
   anew_ = true;
-  loop_.deadlines().Drop(deadline_);
   const auto apart = std::chrono::duration_cast<Duration>(phase_ * limits_.watch_spread / 2);
-  deadline_ = loop_.deadlines().Set(loop_.Now() + apart, [this] {
-    deadline_ = {};
-    Call();
-  });
+  After(apart, [this] { Call(); });
 }
 
 void DiscoveryWatch::Refuse(const std::string& why) {
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -3,6 +3,7 @@
 #ifndef BRASSWOOD_NET_DISCOVERY_WATCH_H_
 #define BRASSWOOD_NET_DISCOVERY_WATCH_H_
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -37,6 +38,7 @@
   Duration Wait() const;
   void Call();
   void Connect();
+  void After(Duration wait, std::function<void()> then);
   void Await(Duration most, const char* what);
   void AwaitAnswer();
   void OnRead();
