Give the server list's age one owner: calls beside calls, make before break, partial lists

Cause: how long a router went without news was the sum of time-outs in net/discovery_watch.cpp and waits in the decision module (connection 1 s, answer 1.5 s, watch 3 s and 1 s, spread up to 2 s), bounded by nothing. An answer that stopped half way was waited for 1.5 s, and the call after it began behind all others; a call that was slow was given up and begun again for ever.

Change: discovery/list_refresher is a state machine free of I/O that alone decides when a call goes out. A call that may still be answered is left alone and another goes out beside it; the oldest stays, so that slow services and queues answer it in turn. An answer that pauses for a fifth of the grace has another call beside it, and its whole entries that tell of drains are used. After SIGHUP the old watch goes on until the new address has told its whole list. News that may have been written long before it came leaves a drain no grace. The decision module subscribes once and schedules no calls on real routers any more.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -501,10 +501,25 @@
   confirmed_ = true;
   TakeUp();
 }
-void Engine::ListRefused() {
-  ++counters_.lists_refused;
-  Push(beechledge::ServerList{ListKind::kRefused, {}, false});
+// Guards against sends to a server whose drain was written and whose list never came whole. Leaving a
+// server out is safe whatever the rest says: the next whole answer goes on from the version held, and says
+// it anew.
+void Engine::ToldInPart(const ServerList& part) {
+  ServerList drains;
+  drains.all = false;
+  for (const ServerEntry& entry : part.entries) {
+    const auto known = by_uid_.find(entry.uid);
+    if (known == by_uid_.end() || entry.availability == Availability::kUp) continue;
+    if (servers_[known->second].availability != Availability::kUp) continue;
+    drains.entries.push_back(told_[known->second]);
+    drains.entries.back().availability = entry.availability;
+  }
+  if (drains.entries.empty()) return;
+  LogLine(Level::kInfo) << "list of version " << part.rev << " came in part: " << drains.entries.size()
+                        << " servers drain";
+  Take(drains, ListKind::kChanges, false, now_() - settings_.rules.drain_grace / 2);
 }
+void Engine::ListRefused() { ++counters_.lists_refused; }
 
 void Engine::Take(const ServerList& list, ListKind kind, bool old, Time arrived) {
   const Time now = std::min(now_(), arrived);
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -69,6 +69,10 @@
   void Remember(const ServerList& known, bool old = false);
   // `arrived`: when it came, if that was before now: a drain's grace runs from then.
   void Told(const ServerList& list, Time arrived = Time::max());
+  // Of a list that stopped half way: servers that it names as draining or gone get nothing new from now on.
+  // Nothing else is taken from it, and the version held stays.
+  void ToldInPart(const ServerList& part);
+  // A call to discovery came to nothing. Counted only: discovery/list_refresher.h sees to the next one.
   void ListRefused();
 
   // From operators. A suspended server is told to the module as draining, whatever discovery says, until
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -59,7 +59,7 @@
   ConnBudget budget;
   CacheServerPool nodes(loop, engine, limits, counters, budget);
   OriginClient origin(loop, engine, limits, counters, budget);
-  DiscoveryWatch watch(loop, engine, limits, names, config.discovery, config.known.rev,
+  DiscoveryWatch watch(loop, engine, limits, config.settings, config.discovery, config.known.rev,
                        beechledge::Unit(beechledge::StableHash(config.name)));
   engine.Attach(nodes, origin, watch);
   ClientFront* front_at = nullptr;  // the front listens last, once all that it needs is there
@@ -124,6 +124,7 @@
   loop.OnSignal(SIGUSR1, [&] {
     LogLine(Level::kInfo) << counters << "; now open: requests=" << engine.open_requests()
                           << " clients=" << front.clients() << " server_connections=" << budget.open;
+    LogLine(Level::kInfo) << watch;
   });
   const auto stop = [&] {
     LogLine(Level::kInfo) << config.name << " stops; open requests: " << engine.open_requests();
@@ -139,6 +140,7 @@
   signals.Hold();
   counters.invariants.Expect(engine.open_requests() == 0, Invariant::kAnsweredBeforeEnd, "exit");
   LogLine(Level::kInfo) << counters;
+  LogLine(Level::kInfo) << watch;
 }
 
 // Guards against a start that is refused for a lack that passes.
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "base/log.h"
@@ -11,208 +12,275 @@
 #include "protocol/http.h"
 
 namespace brasswood {
+namespace {
 
-DiscoveryWatch::DiscoveryWatch(Loop& loop, Engine& engine, const Limits& limits, const Names& names,
-                               std::string address, std::int64_t known, double phase)
+RefreshLimits LimitsFor(const Limits& limits, const beechledge::Settings& settings, double phase) {
+  const auto part = [phase](Duration whole) { return std::chrono::duration_cast<Duration>(phase * whole); };
+  RefreshLimits refresh;
+  // Routers that began together would be answered, and found forsaken, together.
+  refresh.watch = limits.watch - part(limits.watch_spread);
+  refresh.watch_grace = limits.call_grace;
+  refresh.connect = limits.call_up;
+  refresh.answer = limits.call_answer;
+  refresh.drain_grace = settings.rules.drain_grace;
+  refresh.apart = settings.list_agent ? Duration(0) : part(limits.watch_spread / 2);
+  refresh.agent = settings.list_agent;
+  return refresh;
+}
+
+std::optional<std::int64_t> VersionHeld(std::int64_t known) {
+  return known >= 0 ? std::optional<std::int64_t>(known) : std::nullopt;
+}
+
+// -1: there is none.
+std::int64_t AgeInMs(std::optional<Duration> age) {
+  return age ? std::chrono::duration_cast<std::chrono::milliseconds>(*age).count() : -1;
+}
+
+const char* NameOf(CallEnd why) { return kCallEndNames[static_cast<std::size_t>(why)]; }
+
+}  // namespace
+
+DiscoveryWatch::DiscoveryWatch(Loop& loop, Engine& engine, const Limits& limits,
+                               const SettingsRead& settings, std::string address, std::int64_t known,
+                               double phase)
     : loop_(loop),
       engine_(engine),
       limits_(limits),
-      names_(names),
-      address_(std::move(address)),
-      phase_(phase) {
-  if (known >= 0) rev_ = known;
-}
+      names_(settings.names),
+      drain_grace_(settings.module.rules.drain_grace),
+      addresses_{std::move(address)},
+      refresher_(LimitsFor(limits, settings.module, phase), beechledge::ListCalls(settings.module),
+                 VersionHeld(known), static_cast<std::uint64_t>(phase * 1e9)) {}
 
 // Like every other call of the engine's, these answer later, never from inside.
 void DiscoveryWatch::Follow(bool on) {
-  following_ = on;
-  if (on && !calling_) Call();
+  if (!on) return;
+  ListActions actions;
+  refresher_.Follow(loop_.Now(), actions);
+  Carry(actions);
 }
+
 void DiscoveryWatch::FetchAll() {
-  fetch_ = true;
-  if (calling_) {  // the watch makes way: its answer would be part of the whole list anyway
-    buffer_.reset();
-    calling_ = false;
-  }
-  Call();
+  ListActions actions;
+  refresher_.AskWhole(loop_.Now(), actions);
+  Carry(actions);
 }
 
-// Guards against waiting for the old service to fail: what the new one tells counts as told within seconds,
-// whatever call is out. Versions are the old service's own, so the whole list comes first. Where no watch
-// was up (the module is about to ask again) this begins one, and the module's own asking finds it begun.
 void DiscoveryWatch::MoveTo(const std::string& address) {
-  if (address == address_ && calling_) return;
-  address_ = address;
-  buffer_.reset();
-  rev_.reset();
-  anew_ = false;
-  following_ = true;
-  Call();
-}
-
-// A call that need not wait shows at once whether discovery hears this router: the first one after silence,
-// or of a process with kept state.
-bool DiscoveryWatch::Waits() const { return !fetch_ && rev_.has_value() && !ask_first_ && !anew_; }
-
-// Routers that began together would be answered, and found forsaken, together.
-Duration DiscoveryWatch::Wait() const {
-  return Waits() ? limits_.watch - std::chrono::duration_cast<Duration>(phase_ * limits_.watch_spread)
-                 : Duration(0);
-}
-
-void DiscoveryWatch::Call() {
-  calling_ = true;
-  begun_ = false;
-  if (buffer_) {
-    AwaitAnswer();
-  } else {
-    Connect();
+  const auto known = std::find(addresses_.begin(), addresses_.end(), address);
+  const auto source = static_cast<SourceId>(known - addresses_.begin());
+  if (known == addresses_.end()) addresses_.push_back(address);
+  ListActions actions;
+  refresher_.Move(loop_.Now(), source, actions);
+  Carry(actions);
+}
+
+// ---- Actions ----
+
+void DiscoveryWatch::Carry(const ListActions& actions) {
+  for (const ListAction& action : actions) {
+    std::visit([this](const auto& a) { Do(a); }, action);
   }
-  if (!buffer_) return CallAgainSoon();
-  lacks_ = 0;
-  const std::string text = WriteGet(address_, ListPath(fetch_ ? std::nullopt : rev_, Wait()));
-  bufferevent_write(buffer_.get(), text.data(), text.size());
-}
-
-// Guards against news unheard for a lack of this router's own (no descriptor, no route for a moment):
-// unlike a refusal it costs discovery nothing to try again, and nothing is to be spread. A lack that lasts
-// is told to the module like a refusal, later, and not from inside its own action.
-void DiscoveryWatch::CallAgainSoon() {
-  constexpr int kMostLacks = 20;
-  constexpr std::chrono::milliseconds kPause(50);
-  if (++lacks_ > kMostLacks) {
-    lacks_ = 0;
-    return Await(Duration(0), "cannot connect");
+  ListActions more;
+  for (const CallId id : std::exchange(unconnected_, {})) {
+    ++counters_.ended[static_cast<std::size_t>(CallEnd::kNoDescriptor)];
+    refresher_.Failed(loop_.Now(), id, CallEnd::kNoDescriptor, more);
   }
-  if (lacks_ == 1) LogLine(Level::kWarn) << "discovery: cannot connect, tried again";
-  After(kPause, [this] { Call(); });
+  for (const ListAction& action : more) {
+    std::visit([this](const auto& a) { Do(a); }, action);
+  }
+  kept_.reset();
+  Arm();
+}
+
+void DiscoveryWatch::Do(const OpenCall& action) {
+  auto call = std::make_unique<Call>();
+  call->watch = this;
+  call->id = action.id;
+  call->source = action.source;
+  if (action.reuse != 0 && action.reuse == kept_of_ && kept_) {
+    call->buffer = std::move(kept_);
+    call->connected = true;
+    Listen(*call);
+    refresher_.Connected(loop_.Now(), action.id);
+  } else if (!Connect(*call)) {
+    if (!std::exchange(lacking_, true)) LogLine(Level::kWarn) << "discovery: cannot connect, tried again";
+    unconnected_.push_back(action.id);
+    return;
+  }
+  lacking_ = false;
+  ++counters_.calls;
+  const std::string& address = addresses_[static_cast<std::size_t>(action.source)];
+  const std::string path = ListPath(action.since, action.wait);
+  LogLine(Level::kDebug) << "discovery: call " << action.id << " to " << address << ": " << path;
+  const std::string text = WriteGet(address, path);
+  bufferevent_write(call->buffer.get(), text.data(), text.size());
+  calls_[action.id] = std::move(call);
+}
+
+void DiscoveryWatch::Do(const CloseCall& action) {
+  ++counters_.ended[static_cast<std::size_t>(action.why)];
+  const bool usual = action.why == CallEnd::kMadeWay || action.why == CallEnd::kMoved;
+  LogLine(usual ? Level::kDebug : Level::kWarn) << "discovery: " << NameOf(action.why);
+  calls_.erase(action.id);
+}
+
+void DiscoveryWatch::Do(const TakePartial& action) {
+  const auto call = calls_.find(action.id);
+  if (call == calls_.end()) return;
+  const auto answer = ReadHttpPrefix(Gathered(call->second->buffer.get()), limits_.list, limits_);
+  if (!answer || answer->status != 200) return;
+  const auto part = ReadListPrefix(answer->body, names_, limits_);
+  const auto held = refresher_.VersionFor(action.id);
+  // Guards against a late copy of an earlier answer: its drains may be over.
+  if (!part || (held && part->rev < *held)) return;
+  ++counters_.partial;
+  engine_.ToldInPart(*part);
+}
+
+void DiscoveryWatch::Do(const StateChanged& action) {
+  const auto age = ListAge();
+  LogLine line(Level::kInfo);
+  line << "discovery: list " << kListStateNames[static_cast<std::size_t>(action.from)] << " -> "
+       << kListStateNames[static_cast<std::size_t>(action.to)] << " (" << NameOf(action.why) << ")";
+  if (age) line << ", age " << AgeInMs(age) << " ms";
 }
 
-// Runs `then` after that time, in place of whatever the call waited for.
-void DiscoveryWatch::After(Duration wait, std::function<void()> then) {
+void DiscoveryWatch::Arm() {
   loop_.deadlines().Drop(deadline_);
-  deadline_ = loop_.deadlines().Set(loop_.Now() + wait, [this, run = std::move(then)] {
+  const Time next = refresher_.Next();
+  if (next == Time::max()) return;
+  deadline_ = loop_.deadlines().Set(next, [this] {
     deadline_ = {};
-    run();
+    ListActions actions;
+    refresher_.Wake(loop_.Now(), actions);
+    Carry(actions);
   });
 }
 
-void DiscoveryWatch::Await(Duration most, const char* what) {
-  After(most, [this, what] { Refuse(what); });
-}
+// ---- Connections ----
 
-// Its own limit: a discovery that has fallen silent keeps the connection open and never answers.
-void DiscoveryWatch::AwaitAnswer() {
-  if (!Waits()) return Await(limits_.call_answer, "no answer in time");
-  After(Wait() + limits_.call_grace, [this] { Silent(); });
+// False where this process has no connection to make now (no descriptor, no route).
+bool DiscoveryWatch::Connect(Call& call) {
+  const auto to = ParseAddress(addresses_[static_cast<std::size_t>(call.source)]);
+  call.buffer.reset(
+      bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
+  if (!to || !call.buffer) return false;
+  bufferevent* const buffer = call.buffer.get();
+  Listen(call);
+  bufferevent_setwatermark(buffer, EV_READ, 0, limits_.list + limits_.http_head);
+  bufferevent_enable(buffer, EV_READ | EV_WRITE);
+  if (bufferevent_socket_connect(buffer, reinterpret_cast<const sockaddr*>(&*to), sizeof *to) != 0)
+    return false;
+  ++counters_.connections;
+  const int on = 1;
+  setsockopt(bufferevent_getfd(buffer), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  return true;
 }
 
-void DiscoveryWatch::Connect() {
-  const auto to = ParseAddress(address_);
-  buffer_.reset(bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
-  if (!to || !buffer_) return;
+void DiscoveryWatch::Listen(Call& call) {
   bufferevent_setcb(
-      buffer_.get(), [](bufferevent*, void* self) { static_cast<DiscoveryWatch*>(self)->OnRead(); },
+      call.buffer.get(),
+      [](bufferevent*, void* at) {
+        const Call& c = *static_cast<Call*>(at);
+        c.watch->OnRead(c.id);
+      },
       nullptr,
-      [](bufferevent*, short what, void* self) {
-        auto* watch = static_cast<DiscoveryWatch*>(self);
-        if (what & BEV_EVENT_CONNECTED) return watch->AwaitAnswer();
-        // An orderly close ends an answer that states no length.
-        if ((what & BEV_EVENT_EOF) && watch->TakeAnswer(InputEnd::kClosed) != Parsed::kMore) return;
-        watch->Lost("connection lost");
+      [](bufferevent*, short what, void* at) {
+        const Call& c = *static_cast<Call*>(at);
+        c.watch->OnEvent(c.id, what);
       },
-      this);
-  bufferevent_setwatermark(buffer_.get(), EV_READ, 0, limits_.list + limits_.http_head);
-  bufferevent_enable(buffer_.get(), EV_READ | EV_WRITE);
-  if (bufferevent_socket_connect(buffer_.get(), reinterpret_cast<const sockaddr*>(&*to), sizeof *to) != 0) {
-    buffer_.reset();
-    return;
-  }
-  // Guards against a connection that never comes up costing the time of a whole watch.
-  Await(limits_.call_up, "no connection in time");
-  const int on = 1;
-  setsockopt(bufferevent_getfd(buffer_.get()), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+      &call);
+}
+
+void DiscoveryWatch::OnRead(CallId id) {
+  if (TakeAnswer(id, InputEnd::kOpen) != Parsed::kMore) return;
+  refresher_.Progress(loop_.Now(), id);
+  Arm();
 }
 
-void DiscoveryWatch::OnRead() {
-  if (TakeAnswer(InputEnd::kOpen) != Parsed::kMore) return;
-  // Guards against an answer that stops half way: once begun, it is whole soon.
-  if (std::exchange(begun_, true)) return;
-  After(limits_.call_answer, [this] { Lost("an answer that stops half way"); });
+void DiscoveryWatch::OnEvent(CallId id, short what) {
+  if (what & BEV_EVENT_CONNECTED) {
+    refresher_.Connected(loop_.Now(), id);
+    calls_.at(id)->connected = true;
+    return Arm();
+  }
+  // An orderly close ends an answer that states no length.
+  if ((what & BEV_EVENT_EOF) && TakeAnswer(id, InputEnd::kClosed) != Parsed::kMore) return;
+  Do(TakePartial{id});
+  const bool connected = calls_.at(id)->connected;
+  Fail(id, connected ? CallEnd::kBroken : CallEnd::kNotConnected);
 }
 
+// ---- Answers ----
+
 // kMore: it is not whole yet, and nothing has changed. Otherwise the call has ended, in one way or another.
-Parsed DiscoveryWatch::TakeAnswer(InputEnd input) {
+Parsed DiscoveryWatch::TakeAnswer(CallId id, InputEnd input) {
+  bufferevent* const buffer = calls_.at(id)->buffer.get();
   std::size_t used = 0;
   HttpAnswer answer;
-  const Parsed got = ParseHttpAnswer(Gathered(buffer_.get()), limits_.list, limits_, input, used, answer);
+  const Parsed got = ParseHttpAnswer(Gathered(buffer), limits_.list, limits_, input, used, answer);
   if (got == Parsed::kMore) return got;
-  if (got == Parsed::kBad || !calling_) {
-    Refuse("a bad answer");
+  if (got == Parsed::kBad) {
+    Fail(id, CallEnd::kBadAnswer);
     return got;
   }
-  TakeList(std::move(answer), used, input);
+  evbuffer* in = bufferevent_get_input(buffer);
+  evbuffer_drain(in, used);
+  // Guards against what comes beyond an answer, which would pass for the start of the next one.
+  const bool keep = answer.keep && input != InputEnd::kClosed && evbuffer_get_length(in) == 0;
+  TakeList(id, std::move(answer), keep);
   return got;
 }
 
-void DiscoveryWatch::TakeList(HttpAnswer answer, std::size_t used, InputEnd input) {
-  const Time arrived = loop_.Arrived();
-  evbuffer* in = bufferevent_get_input(buffer_.get());
-  evbuffer_drain(in, used);
-  // Guards against what comes beyond an answer, which would pass for the start of the next one.
-  if (!answer.keep || input == InputEnd::kClosed || evbuffer_get_length(in) != 0) buffer_.reset();
-  if (answer.status != 200) return Refuse("status " + std::to_string(answer.status));
+void DiscoveryWatch::TakeList(CallId id, HttpAnswer answer, bool keep) {
+  if (answer.status != 200) return Fail(id, CallEnd::kRefused, "status " + std::to_string(answer.status));
   std::string why;
   const auto list = ReadServerList(answer.body, names_, limits_, why);
-  if (!list) return Refuse("server list refused: " + why);
+  if (!list) return Fail(id, CallEnd::kBadAnswer, "server list refused: " + why);
   // What is older than the list held, where only newer was asked for, does not fit it: a late copy of an
-  // earlier answer, or a discovery that has started anew on old state. The whole list is asked for, as the
-  // module asks again.
-  if (!fetch_ && rev_ && list->rev < *rev_) {
-    rev_.reset();
-    return Refuse((list->all ? "a list of version " : "changes of version ") + std::to_string(list->rev) +
-                  ", older than what is held");
+  // earlier answer, or a discovery that has started anew on old state. The whole list is asked for.
+  const auto held = refresher_.VersionFor(id);
+  if (held && list->rev < *held) {
+    return Fail(id, CallEnd::kOlderList,
+                (list->all ? "a list of version " : "changes of version ") + std::to_string(list->rev) +
+                    ", older than what is held");
   }
-  loop_.deadlines().Drop(deadline_);
-  calling_ = false;
-  fetch_ = anew_ = ask_first_ = false;
-  rev_ = list->rev;
+  // Where its news may have been written long before it came, a drain has no grace left.
+  const Time arrived = refresher_.Undisturbed(id) ? loop_.Arrived() : loop_.Now() - drain_grace_ / 2;
+  ++counters_.ended[static_cast<std::size_t>(CallEnd::kAnswered)];
+  if (keep) kept_ = std::move(calls_.at(id)->buffer);
+  kept_of_ = id;
+  calls_.erase(id);
+  ListActions actions;
+  refresher_.Answered(loop_.Now(), id, list->rev, actions);
   // The next call goes out before the module sees the news: a watch is kept up only by calling at once.
-  if (following_) Call();
+  Carry(actions);
   engine_.Told(*list, arrived);
 }
 
-// Guards against a list that grows old for nothing: a watch that says no word any more is broken, and what
-// it misses binds all the same, so it is opened anew at once. A refusal is another thing: there discovery
-// is short of room, and the module spreads the next calls. So is silence twice in a row: the call that
-// opens it anew does not wait.
-void DiscoveryWatch::Silent() {
-  LogLine(Level::kWarn) << "discovery: the watch fell silent, opened anew";
-  buffer_.reset();
-  anew_ = true;
-  Call();
-}
-
-// Guards against news that is lost on its way: what discovery has written counts as told. A watch that
-// broke is opened anew at once, each router's a little apart, as discovery may have lost them all. Where
-// that call fails, too, it is a refusal like others.
-void DiscoveryWatch::Lost(const char* why) {
-  if (!calling_ || !Waits()) return Refuse(why);
-  LogLine(Level::kWarn) << "discovery: " << why << ", the watch is opened anew";
-  buffer_.reset();
-  anew_ = true;
-  const auto apart = std::chrono::duration_cast<Duration>(phase_ * limits_.watch_spread / 2);
-  After(apart, [this] { Call(); });
+void DiscoveryWatch::Fail(CallId id, CallEnd why, const std::string& detail) {
+  LogLine(Level::kWarn) << "discovery: " << (detail.empty() ? NameOf(why) : detail);
+  ++counters_.ended[static_cast<std::size_t>(why)];
+  calls_.erase(id);
+  engine_.ListRefused();
+  ListActions actions;
+  refresher_.Failed(loop_.Now(), id, why, actions);
+  Carry(actions);
 }
 
-void DiscoveryWatch::Refuse(const std::string& why) {
-  LogLine(Level::kWarn) << "discovery: " << why;
-  loop_.deadlines().Drop(deadline_);
-  buffer_.reset();
-  const bool asked = std::exchange(calling_, false);
-  fetch_ = anew_ = false;
-  following_ = false;  // the module asks again when it sees fit
-  if (asked) engine_.ListRefused();
+std::ostream& operator<<(std::ostream& out, const DiscoveryWatch& watch) {
+  const DiscoveryCounters& c = watch.counters();
+  out << "discovery: state=" << kListStateNames[static_cast<std::size_t>(watch.state())]
+      << " list_age_ms=" << AgeInMs(watch.ListAge()) << " calls=" << c.calls
+      << " connections=" << c.connections << " partial=" << c.partial;
+  for (std::size_t i = 0; i < c.ended.size(); ++i) {
+    std::string name = kCallEndNames[i];
+    std::replace(name.begin(), name.end(), ' ', '_');
+    out << ' ' << name << '=' << c.ended[i];
+  }
+  return out;
 }
 
 }  // namespace brasswood
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -1,72 +1,98 @@
-// The watch on discovery: one call at a time on a kept connection, the next one begun as soon as an answer
-// is in, so that the watch goes on.
+// Calls to discovery on real connections: carries out what ListRefresher decides, and tells it what came of
+// it. Lists go on to the engine; when a call goes out, and how long it may take, is not decided here.
 #ifndef BRASSWOOD_NET_DISCOVERY_WATCH_H_
 #define BRASSWOOD_NET_DISCOVERY_WATCH_H_
 
-#include <functional>
+#include <array>
+#include <map>
+#include <memory>
 #include <optional>
+#include <ostream>
 #include <string>
+#include <vector>
 
 #include "config/limits.h"
 #include "config/settings.h"
 #include "core/engine.h"
+#include "discovery/list_refresher.h"
 #include "net/loop.h"
 #include "protocol/http.h"
 
 namespace brasswood {
 
+// What the watch has done, for the counters that operators read.
+struct DiscoveryCounters {
+  std::uint64_t calls = 0;        // sent
+  std::uint64_t connections = 0;  // opened
+  std::uint64_t partial = 0;      // answers that stopped half way and were used as far as they came
+  std::array<std::uint64_t, static_cast<std::size_t>(CallEnd::kCount)> ended{};
+};
+
 class DiscoveryWatch : public Watch {
  public:
-  // `known`: the version of the list held at the start, if any. `phase`: 0 to 1, differs from router to
-  // router: the watches of a fleet that fall silent together are not opened anew together.
-  DiscoveryWatch(Loop& loop, Engine& engine, const Limits& limits, const Names& names, std::string address,
-                 std::int64_t known, double phase = 0);
+  // `known`: the version of the list held at the start, if any (below 0: none). `phase`: 0 to 1, differs
+  // from router to router: the watches of a fleet that fall silent or break together are not opened anew
+  // together.
+  DiscoveryWatch(Loop& loop, Engine& engine, const Limits& limits, const SettingsRead& settings,
+                 std::string address, std::int64_t known, double phase = 0);
 
   // The first call is answered at once, whether or not there is news: who has kept state wants to know
   // whether it still holds, and a watch says nothing until something changes. One call more.
-  void AskFirst() { ask_first_ = true; }
+  void AskFirst() { refresher_.AskFirst(); }
 
   void Follow(bool on) override;
   void FetchAll() override;
 
-  // Goes on at this address: the whole list at once, then the watch. Nothing is changed where it already
-  // watches there.
+  // Goes on at this address, the whole list first. What the old one tells counts until then.
   void MoveTo(const std::string& address);
 
+  const DiscoveryCounters& counters() const { return counters_; }
+  ListState state() const { return refresher_.state(); }
+  // Since the list was last known to be true; nothing before the first word of this process.
+  std::optional<Duration> ListAge() const { return refresher_.Age(loop_.Now()); }
+
  private:
-  bool Waits() const;
-  Duration Wait() const;
-  void Call();
-  void Connect();
-  void After(Duration wait, std::function<void()> then);
-  void Await(Duration most, const char* what);
-  void AwaitAnswer();
-  void OnRead();
-  Parsed TakeAnswer(InputEnd input);
-  void TakeList(HttpAnswer answer, std::size_t used, InputEnd input);
-  void Silent();
-  void Lost(const char* why);
-  void CallAgainSoon();
-  void Refuse(const std::string& why);
+  struct Call {
+    DiscoveryWatch* watch = nullptr;
+    CallId id = 0;
+    SourceId source = 0;
+    bool connected = false;
+    BufferPtr buffer;
+  };
+
+  void Carry(const ListActions& actions);
+  void Do(const OpenCall& action);
+  void Do(const CloseCall& action);
+  void Do(const TakePartial& action);
+  void Do(const StateChanged& action);
+  void Arm();
+  bool Connect(Call& call);
+  void Listen(Call& call);
+  void OnRead(CallId id);
+  void OnEvent(CallId id, short what);
+  Parsed TakeAnswer(CallId id, InputEnd input);
+  void TakeList(CallId id, HttpAnswer answer, bool keep);
+  void Fail(CallId id, CallEnd why, const std::string& detail = {});
 
   Loop& loop_;
   Engine& engine_;
   const Limits& limits_;
   const Names& names_;
-  std::string address_;
-  std::optional<std::int64_t> rev_;
-  bool following_ = false;
-  bool fetch_ = false;    // the whole list is asked for once
-  bool calling_ = false;  // a call is out
-  bool begun_ = false;    // its answer has begun to come
-  bool ask_first_ = false;
-  int lacks_ = 0;      // calls in a row for which this router had no connection to make
-  bool anew_ = false;  // it opens a watch that fell silent
-  const double phase_;
-  BufferPtr buffer_;
+  const Duration drain_grace_;
+  std::vector<std::string> addresses_;  // by SourceId
+  ListRefresher refresher_;
+  std::map<CallId, std::unique_ptr<Call>> calls_;
+  BufferPtr kept_;  // the connection of a call that was just answered, for the next one
+  CallId kept_of_ = 0;
+  std::vector<CallId> unconnected_;  // to be told to the refresher, once it is done
+  bool lacking_ = false;             // the last call found no descriptor
+  DiscoveryCounters counters_;
   Deadlines::Id deadline_;
 };
 
+// One line of counters: calls by how they ended, the list's state and its age.
+std::ostream& operator<<(std::ostream& out, const DiscoveryWatch& watch);
+
 }  // namespace brasswood
 
 #endif  // BRASSWOOD_NET_DISCOVERY_WATCH_H_
--- a/src/protocol/discovery.h
+++ b/src/protocol/discovery.h
@@ -21,6 +21,11 @@
 std::optional<ServerList> ReadServerList(std::string_view json, const Names& names, const Limits& limits,
                                          std::string& why);
 
+// Of a list that stops half way: the entries that came whole, and which version and kind of list they
+// belong to. Nothing where the version does not stand before the entries, or anything that came is bad. It
+// is no list: what it does not name may be listed all the same.
+std::optional<ServerList> ReadListPrefix(std::string_view json, const Names& names, const Limits& limits);
+
 // The whole list, or, with a version to go on from, a watch that may wait.
 std::string ListPath(std::optional<std::int64_t> since, Duration wait);
 
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -26,7 +26,10 @@
     if (!length || *length > most - body.size()) return Parsed::kBad;
     at = end + 2;
     if (*length == 0) break;
-    if (in.size() < at + *length + 2) return Parsed::kMore;
+    if (in.size() < at + *length + 2) {
+      body.append(in.substr(at, *length));
+      return Parsed::kMore;
+    }
     if (in.substr(at + *length, 2) != "\r\n") return Parsed::kBad;
     body.append(in.substr(at, *length));
     at += *length + 2;
@@ -199,6 +202,22 @@
   return Parsed::kDone;
 }
 
+std::optional<HttpAnswer> ReadHttpPrefix(std::string_view in, std::size_t most_body, const Limits& limits) {
+  HttpAnswer answer;
+  HttpHead head;
+  std::size_t at = 0;
+  if (ParseFinalHead(in, limits, at, answer, head) != Parsed::kDone) return std::nullopt;
+  if (head.body == BodyEnd::kLastChunk) {
+    std::size_t used = 0;
+    if (TakeChunks(in, at, most_body, used, answer.body) == Parsed::kBad) return std::nullopt;
+  } else if (head.body != BodyEnd::kAtHead) {
+    const std::uint64_t length = head.body == BodyEnd::kLength ? head.length : most_body;
+    if (length > most_body) return std::nullopt;
+    answer.body.assign(in.substr(at, static_cast<std::size_t>(length)));
+  }
+  return answer;
+}
+
 Parsed ParseHttpHead(std::string_view in, const Limits& limits, std::size_t& used, HttpAnswer& answer,
                      std::optional<std::uint64_t>& length) {
   HttpHead head;
--- a/src/protocol/http.h
+++ b/src/protocol/http.h
@@ -28,6 +28,10 @@
 Parsed ParseHttpAnswer(std::string_view in, std::size_t most_body, const Limits& limits, InputEnd end,
                        std::size_t& used, HttpAnswer& answer);
 
+// An answer that may stop half way: its head, and as much of its body as came. Nothing where the head is
+// not whole, or what came is bad.
+std::optional<HttpAnswer> ReadHttpPrefix(std::string_view in, std::size_t most_body, const Limits& limits);
+
 // The head alone of an answer, interim ones passed over; `used` ends where its body begins. `length` has
 // the body's Content-Length, if the body ends there; otherwise it is empty and ParseHttpAnswer finds the
 // end.
--- a/src/recovery/list_calls.h
+++ b/src/recovery/list_calls.h
@@ -39,6 +39,8 @@
 
   // Until the first call of this process. `any`: evenly drawn from 0 to 1, as everywhere here.
   Duration First(double any) const { return agent_ ? Duration(0) : FromSeconds(Seconds(spread_) * any); }
+  // Over how long the first calls of a fleet that begins together are spread.
+  Duration spread() const { return spread_; }
   // Discovery has said its word: the list is true as of now.
   void Told(Time now) {
     known_ = now;
