Explore calls to discovery in virtual time; ask an agent at once, and find its dead connections soon

Found by the exploration and by reading: an agent's connection that never came up was waited for 1 s, as long as a whole grace; a new process waited on its first watch for what its agent had; calls that were refused counted as unanswered and spread the next.

Whole-entry and body prefixes have tests at every byte.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <iostream>
 
+#include "lab/explore/list_exploration.h"
 #include "lab/run/soak.h"
 #include "lab/run/studies.h"
 
@@ -170,6 +171,17 @@
   soak->add_option("--out", study.folder, "Folder for the runs that fail")->capture_default_str();
   soak->add_option("--router", router, "The router's program and its arguments")->capture_default_str();
 
+  CLI::App* explore =
+      app.add_subcommand("explore", "Calls to discovery in virtual time, with faults drawn from seeds");
+  std::uint64_t explore_first = 1;
+  std::uint64_t explore_seeds = 100000;
+  bool explore_chained = false;
+  explore->add_option("--first", explore_first, "The first seed")->capture_default_str();
+  explore->add_option("--seeds", explore_seeds, "How many")
+      ->check(CLI::Range(1, 100000000))
+      ->capture_default_str();
+  explore->add_flag("--chained", explore_chained, "A machine built wrong, which is to be caught");
+
   CLI::App* check = app.add_subcommand("check", "Check scenario files");
   std::vector<std::string> files;
   check->add_option("scenarios", files, "Files")->required();
@@ -200,6 +212,11 @@
       soak_plan.most_routers = std::max(soak_plan.most_routers, soak_plan.least_routers);
       exit = RunSoak(soak_plan, study, side, std::cout);
     }
+    if (*explore) {
+      const MakeCaller make = explore_chained ? MakeChained : MakeRefresher;
+      const auto last = explore_first + explore_seeds - 1;
+      exit = Explore(explore_first, last, make, std::cout) == 0 ? Exit::kFine : Exit::kFailed;
+    }
     if (*check) {
       for (const std::string& file : files) {
         (void)LoadScenario(FindScenario(file));
--- a/src/discovery/list_refresher.cpp
+++ b/src/discovery/list_refresher.cpp
@@ -9,12 +9,13 @@
 
 // From one call to the next one beside it, while the first may still be answered.
 constexpr Duration kLeastGap = std::chrono::seconds(1);
-constexpr Duration kMostGap = std::chrono::seconds(4);
+constexpr Duration kMostGap = std::chrono::seconds(3);
 constexpr int kEarlyCalls = 5;  // after these the gap doubles
 
 // The same before an agent that serves this router alone, as parts of a drain's grace.
 constexpr Duration kAgentLeastGap = milliseconds(25);
 constexpr Duration kAgentMostGap = milliseconds(750);
+constexpr Duration kAgentMostConnect = milliseconds(400);
 
 // A pause in an answer that has begun, as part of a drain's grace.
 constexpr Duration kLeastStall = milliseconds(50);
@@ -47,7 +48,8 @@
 void ListRefresher::Follow(Time now, ListActions& out) {
   if (following_) return;
   following_ = true;
-  const bool watch = version_.has_value() && !ask_first_;
+  // What an agent has counts from the first moment of a process, so it is asked, and not waited for.
+  const bool watch = version_.has_value() && !ask_first_ && !limits_.agent;
   if (!watch) {
     Disturb(now, Duration(0));
     return Step(now, CallEnd::kAnswered, out);
@@ -230,12 +232,18 @@
     for (int i = 1; i < unanswered_ && gap < most; ++i) gap *= 2;
     return std::min(most, std::max(gap, patient));
   }
-  Duration gap = std::max(kLeastGap, pacing_.spread());
+  Duration gap = unanswered_ <= 1 ? kLeastGap : std::max(kLeastGap, pacing_.spread());
   for (int i = kEarlyCalls; i <= unanswered_ && gap < kMostGap; ++i) gap *= 2;
   gap = std::min(kMostGap, std::max(gap, patient));
   return std::chrono::duration_cast<Duration>(gap * (0.8 + 0.2 * Any()));
 }
 
+Duration ListRefresher::ConnectLimit() const {
+  if (!limits_.agent) return limits_.connect;
+  const Duration soon = std::clamp<Duration>(limits_.drain_grace / 2, kAgentLeastGap, kAgentMostConnect);
+  return std::min(limits_.connect, soon);
+}
+
 Duration ListRefresher::StallLimit() const {
   return std::clamp<Duration>(limits_.drain_grace / 5, kLeastStall, kMostStall);
 }
@@ -257,6 +265,8 @@
 // ListCalls spread the next calls over the fleet.
 void ListRefresher::AfterFailure(Time now, CallEnd why) {
   const bool first = !disturbed_;
+  const bool unanswered = why == CallEnd::kConnectTime || why == CallEnd::kNoAnswer;
+  if (!unanswered && unanswered_ > 0) --unanswered_;
   if (why == CallEnd::kNoDescriptor && ++lacks_ <= kMostLacks) {
     Disturb(now, kLackPause);
     next_open_ = now + kLackPause;
@@ -289,7 +299,7 @@
 
 Time ListRefresher::LimitOf(const Call& call) const {
   const Time last = call.opened + call.wait + kPatience * limits_.answer;
-  if (!call.connected) return call.opened + limits_.connect;
+  if (!call.connected) return call.opened + ConnectLimit();
   if (!call.first_byte) {
     return call.wait > Duration(0) ? call.opened + call.wait + limits_.watch_grace : last;
   }
--- a/src/discovery/list_refresher.h
+++ b/src/discovery/list_refresher.h
@@ -179,6 +179,7 @@
   void CheckAnswering(Time now, CallId id, ListActions& out);
   void Step(Time now, CallEnd why, ListActions& out);
   Duration Gap();
+  Duration ConnectLimit() const;
   Duration StallLimit() const;
   bool TakeHaste(Time now);
   double Any() { return std::uniform_real_distribution<double>(0, 1)(random_); }
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -296,6 +296,32 @@
   CHECK_FALSE(w.Leaves(elsewhere, "127.0.0.1:1"));  // and its time is over
 }
 
+// Guards against a drain whose list never came whole, and against more than that being taken from it.
+TEST_CASE("of a list that came in part only its drains are taken, at once and with no grace left") {
+  World w;
+  w.Take(7);
+  const auto [there, asked] = w.ends.attempts[0];
+  const std::string drains = asked == 0 ? "s1" : "s2", stays = asked == 0 ? "s2" : "s1";
+  ServerList part;
+  part.rev = 9;
+  part.all = true;
+  part.entries.push_back({drains, "127.0.0.1:9", 0, 0, 0, Availability::kDraining, 1, 0s});
+  part.entries.push_back({stays, "127.0.0.1:9", 0, 0, 0, Availability::kUp, 1, 0s});
+  part.entries.push_back({"unheard of", "127.0.0.1:9", 0, 0, 0, Availability::kDraining, 1, 0s});
+  w.engine->ToldInPart(part);
+  CHECK_FALSE(w.Leaves(there, "127.0.0.1:1"));
+  CHECK(w.engine->FindServer(asked)->availability == Availability::kDraining);
+  CHECK(w.engine->FindServer(1 - asked)->endpoint == "127.0.0.1:1");
+  CHECK(w.engine->FindServer(2) == nullptr);
+  CHECK(w.engine->Keep(0).list.rev != 9);
+  ServerList back;  // the whole answer says otherwise by now
+  back.rev = 10;
+  back.all = false;
+  back.entries.push_back({drains, "127.0.0.1:1", 0, 0, 0, Availability::kUp, 1, 0s});
+  w.engine->Told(back);
+  CHECK(w.engine->FindServer(asked)->availability == Availability::kUp);
+}
+
 // Guards against a window that is looked at before a connection is made, and runs out while it comes up.
 TEST_CASE("no first byte goes out for a client that has gone, and its request ends") {
   World w;
--- a/tests/net/parsers_test.cpp
+++ b/tests/net/parsers_test.cpp
@@ -336,6 +336,47 @@
   }
 }
 
+TEST_CASE("of a server list that stops half way the whole entries are read, wherever it stops") {
+  const Names names{{}, {}, {"a"}, {"m1"}};
+  const std::string entry =
+      R"({"uid":"s[1]\"}","endpoint":"127.0.0.1:5","state":"terminating","more":{"targets":[1]}})";
+  const std::string gone = R"({"uid":"s2","state":"terminated"})";
+  const std::string head = R"({ "more" : {"targets":[]}, "rev":41 , "all":false, "targets" : [)";
+  const std::string whole = head + " " + entry + ",\n" + gone + "]}";
+  for (std::size_t end = 0; end <= whole.size(); ++end) {
+    INFO(whole.substr(0, end));
+    const auto part = ReadListPrefix(whole.substr(0, end), names, kLimits);
+    REQUIRE(part.has_value() == (end >= head.size()));
+    if (!part) continue;
+    CHECK(part->rev == 41);
+    const std::size_t first = head.size() + 1 + entry.size(), second = first + 2 + gone.size();
+    CHECK(part->entries.size() == std::size_t{end >= first} + std::size_t{end >= second});
+  }
+  CHECK(ReadListPrefix(whole, names, kLimits)->entries[0].uid == "s[1]\"}");
+  for (const std::string& bad :
+       {std::string(R"({"targets":[)") + entry + R"(],"rev":41,"all":true})",  // no version before them
+        head + R"({"uid":"s1","state":"dozing"},)" + gone, head + "}}]", std::string("[[")}) {
+    INFO(bad);
+    const auto part = ReadListPrefix(bad, names, kLimits);
+    CHECK((!part || part->entries.empty()));
+  }
+}
+
+TEST_CASE("the body of an HTTP answer so far, in each of its forms") {
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const auto body = [&](const std::string& rest) {
+    const auto answer = ReadHttpPrefix(status + rest, 100, kLimits);
+    return answer ? answer->body : "none";
+  };
+  CHECK(body("Content-Length: 9\r\n\r\nabc") == "abc");
+  CHECK(body("Content-Length: 3\r\n\r\nabcdef") == "abc");
+  CHECK(body("\r\nabc") == "abc");
+  CHECK(body("Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n9\r\ndef") == "abcdef");
+  CHECK(body("Content-Length: 9\r\n") == "none");
+  CHECK(body("Content-Length: 101\r\n\r\nabc") == "none");
+  CHECK(body("Transfer-Encoding: chunked\r\n\r\nzz\r\nabc") == "none");
+}
+
 TEST_CASE("the configuration") {
   const std::string good =
       R"({"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"ff","settings":{"classes":)"
