Accept again at once after an accept that failed; longer pauses only for failures in a row

Cause: the listener's error callback paused it for 20 ms after every failure, also one that had passed (ENFILE, ENOBUFS, EMFILE for a moment). Now 1 ms after the first, doubled up to 20 ms while they go on in a row. A lasting lack costs what it did.

--- a/src/net/client_front.cpp
+++ b/src/net/client_front.cpp
@@ -16,6 +16,13 @@
 #include "protocol/meta.h"
 
 namespace brasswood {
+namespace {
+
+// How long no connection is accepted: with a full table, and after a first failure.
+constexpr Duration kFullPause = std::chrono::milliseconds(20);
+constexpr Duration kLeastPause = std::chrono::milliseconds(1);
+
+}  // namespace
 
 ClientFront::ClientFront(Loop& loop, Engine& engine, const Limits& limits, const Names& names,
                          Counters& counters, const std::string& address)
@@ -41,7 +48,7 @@
   evconnlistener_set_error_cb(listener_.get(), [](evconnlistener*, void* self) {
     // Out of descriptors: the waiting connection stays readable.
     LogLine(Level::kWarn) << "cannot accept: " << std::strerror(EVUTIL_SOCKET_ERROR());
-    static_cast<ClientFront*>(self)->Pause();
+    static_cast<ClientFront*>(self)->AcceptFailed();
   });
 }
 
@@ -92,19 +99,28 @@
     chosen = id;
     least = at;
   });
-  if (chosen == 0) return Pause();  // all are at work
+  if (chosen == 0) return Pause(kFullPause);  // all are at work
   ++counters_.made_way;
   Close(chosen, ClientEnd::kMadeWay);
 }
 
+// Guards against requests that wait in the kernel's queue for a lack that has passed: one failure is
+// followed by the next try at once, and only those in a row by ever longer pauses.
+void ClientFront::AcceptFailed() {
+  Duration pause = kLeastPause;
+  for (int i = 0; i < accepts_failed_ && pause < kFullPause; ++i) pause *= 2;
+  ++accepts_failed_;
+  Pause(std::min(pause, kFullPause));
+}
+
 // Accepts no more for a moment. Without it a loop that cannot accept would spin on the listener.
-void ClientFront::Pause() {
+void ClientFront::Pause(Duration pause) {
   if (!listening_) return;
   listening_ = false;
   loop_.deadlines().Drop(queue_empty_);
   if (paused_since_ == Time(0)) paused_since_ = loop_.Now();
   evconnlistener_disable(listener_.get());
-  loop_.deadlines().Set(loop_.Now() + std::chrono::milliseconds(20), [this] { Resume(); });
+  loop_.deadlines().Set(loop_.Now() + pause, [this] { Resume(); });
 }
 
 bool ClientFront::Idle(const Client& s) {
@@ -114,6 +130,7 @@
 
 void ClientFront::Accept(evutil_socket_t fd) {
   loop_.NoteCallback();
+  accepts_failed_ = 0;
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   auto owned = std::make_unique<Client>();
--- a/src/net/client_front.h
+++ b/src/net/client_front.h
@@ -104,7 +104,8 @@
   void Accept(evutil_socket_t fd);
   void MakeRoom();
   static bool Idle(const Client& s);
-  void Pause();
+  void AcceptFailed();
+  void Pause(Duration pause);
   void Resume();
   void Read(Client& s);
   void Begin(Client& s, RequestContent content);
@@ -142,6 +143,7 @@
   Counters& counters_;
   std::unique_ptr<evconnlistener, void (*)(evconnlistener*)> listener_;
   bool listening_ = true;
+  int accepts_failed_ = 0;     // in a row
   Time paused_since_{0};       // the queue was last known to be empty then; 0: it is
   Deadlines::Id queue_empty_;  // after a pause: nothing of it is left
   Slots<std::unique_ptr<Client>> clients_;
