--- a/src/recovery/list_calls.h
+++ b/src/recovery/list_calls.h
@@ -1,6 +1,6 @@
-// The waits of calls to discovery that are spread over a fleet: at the start, and after a refusal. On a real
-// router discovery/list_refresher.h owns the bound on the list's age and asks here; on the simulator the
-// decision module does. Free of I/O.
+// The waits of calls to discovery that are spread over a fleet: at the start, and after a refusal. On a
+// real router discovery/list_refresher.h owns the bound on the list's age and asks here; on the simulator
+// the decision module does. Free of I/O.
 //
 // The platform counts a change as told kTold after discovery had it and could be reached, whatever became
 // of the calls meanwhile. Against that stand hundreds of routers that start, or lose discovery, together:
