--- a/lab/explore/list_exploration.cpp
+++ b/lab/explore/list_exploration.cpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "lab/base/rng.h"
+#include "lab/explore/virtual_time.h"
 
 namespace brasswood::lab {
 namespace {
@@ -54,7 +55,7 @@
   ExploreResult Play() {
     for (std::size_t r = 0; r < routers_.size(); ++r) {
       At(Between(milliseconds(0), milliseconds(1000)),
-         [this, r] { Act(r, [&](auto& c, auto& out) { c.Follow(now_, out); }); });
+         [this, r] { Act(r, [&](ListCaller& c, ListActions& out) { c.Follow(time_.now(), out); }); });
       for (Time t = Between(milliseconds(2000), milliseconds(9000)); t < kLength - kTold;
            t += Between(milliseconds(200), milliseconds(12000))) {
         At(t, [this, r] { MoveRouter(r); });
@@ -64,11 +65,7 @@
          t += Between(milliseconds(2000), milliseconds(9000))) {
       At(t, [this] { Change(); });
     }
-    while (result_.broken.empty() && !events_.empty() && events_.begin()->first.first < kLength) {
-      now_ = events_.begin()->first.first;
-      const auto run = std::move(events_.begin()->second);
-      events_.erase(events_.begin());
-      run();
+    while (result_.broken.empty() && time_.PlayNext(kLength)) {
     }
     return result_;
   }
@@ -82,7 +79,7 @@
     bool held = false;  // a watch that waits for news
   };
   struct Router {
-    std::unique_ptr<ListCaller> caller;
+    std::unique_ptr<CallerDriver> driver;
     std::map<CallId, Call> calls;
     std::int64_t held = 1;
     Time moved{0};  // its last configuration
@@ -90,11 +87,10 @@
     bool last_bad = false;
     std::deque<Time> opened;  // in the last 10 s
     std::deque<Time> answered;
-    std::uint64_t timer = 0;
     std::map<std::int64_t, Time> owed;  // versions to hold, each by that moment
   };
 
-  Router MakeRouter(std::uint64_t seed, int r, int fleet, const MakeCaller& make) {
+  std::unique_ptr<Router> MakeRouter(std::uint64_t seed, int r, int fleet, const MakeCaller& make) {
     CallerPlan plan;
     plan.seed = Mix(seed * 179 + static_cast<std::uint64_t>(r));
     plan.settings.balancers = fleet;
@@ -106,68 +102,55 @@
     plan.limits.drain_grace = grace_;
     plan.limits.apart = agent_ ? Duration(0) : Between(milliseconds(0), milliseconds(250));
     plan.limits.agent = agent_;
-    Router router;
-    router.caller = make(plan);
+    const auto number = static_cast<std::size_t>(r);
+    auto router = std::make_unique<Router>();
+    router->driver = std::make_unique<CallerDriver>(
+        time_, make(plan),
+        CallerDriver::Network{[this, number](const OpenCall& open) { Open(number, open); },
+                              [this, number](const CloseCall& close) { Close(number, close); }});
     return router;
   }
 
   Duration Between(Duration low, Duration high) {
     return low + std::chrono::duration_cast<Duration>((high - low) * Unit(rng_));
   }
-  void At(Time at, std::function<void()> run) {
-    events_.emplace(std::pair(at, ++last_event_), std::move(run));
-  }
+  void At(Time at, std::function<void()> run) { time_.At(at, std::move(run)); }
   template <class... Words>
   void Trace(std::size_t router, const Words&... words) {
     if (trace_ == nullptr) return;
-    *trace_ << std::chrono::duration<double>(now_).count() << " r" << router << ":";
+    *trace_ << std::chrono::duration<double>(time_.now()).count() << " r" << router << ":";
     ((*trace_ << ' ' << words), ...);
     *trace_ << '\n';
   }
   void Break(std::size_t router, const std::string& what) {
     if (!result_.broken.empty()) return;
     std::ostringstream text;
-    text << what << ", router " << router << " at " << std::chrono::duration<double>(now_).count() << " s";
+    text << what << ", router " << router << " at " << std::chrono::duration<double>(time_.now()).count()
+         << " s";
     result_.broken = text.str();
     Trace(router, "BROKEN:", what);
   }
 
   // ---- The router's side ----
 
-  template <class Step>
-  void Act(std::size_t r, Step step) {
-    ListActions actions;
-    step(*routers_[r].caller, actions);
-    for (const ListAction& action : actions) {
-      if (const auto* open = std::get_if<OpenCall>(&action)) Open(r, *open);
-      if (const auto* close = std::get_if<CloseCall>(&action)) {
-        Trace(r, "closes", close->id, kCallEndNames[static_cast<std::size_t>(close->why)]);
-        routers_[r].calls.erase(close->id);
-      }
-    }
-    Arm(r);
-  }
-  void Arm(std::size_t r) {
-    const Time next = routers_[r].caller->Next();
-    if (next == Time::max()) return;
-    const std::uint64_t timer = ++routers_[r].timer;
-    At(std::max(next, now_), [this, r, timer] {
-      if (routers_[r].timer == timer) Act(r, [&](auto& c, auto& out) { c.Wake(now_, out); });
-    });
+  void Act(std::size_t r, const CallerDriver::Fact& fact) { routers_[r]->driver->Tell(fact); }
+  void Close(std::size_t r, const CloseCall& close) {
+    Trace(r, "closes", close.id, kCallEndNames[static_cast<std::size_t>(close.why)]);
+    routers_[r]->calls.erase(close.id);
   }
   void MoveRouter(std::size_t r) {
-    Router& router = routers_[r];
+    Router& router = *routers_[r];
     router.source = static_cast<SourceId>(rng_(2));
-    router.moved = now_;
+    router.moved = time_.now();
     Trace(r, "moves to", router.source);
-    Act(r, [&](auto& c, auto& out) { c.Move(now_, router.source, out); });
+    Act(r, [&](ListCaller& c, ListActions& out) { c.Move(time_.now(), router.source, out); });
   }
   void CountCall(std::size_t r) {
-    Router& router = routers_[r];
+    Router& router = *routers_[r];
     ++result_.calls;
-    router.opened.push_back(now_);
+    router.opened.push_back(time_.now());
     for (auto* times : {&router.opened, &router.answered}) {
-      while (!times->empty() && times->front() < now_ - std::chrono::seconds(10)) times->pop_front();
+      while (!times->empty() && times->front() < time_.now() - std::chrono::seconds(10)) times->pop_front();
     }
     const std::size_t most =
         router.answered.size() + static_cast<std::size_t>(agent_ ? kAgentMostCallsIn10s : kMostCallsIn10s);
@@ -189,75 +172,75 @@
     return on_kept && of_connection ? Fate::kReset : fate;
   }
   void Open(std::size_t r, const OpenCall& open) {
-    Router& router = routers_[r];
+    Router& router = *routers_[r];
     CountCall(r);
     Call call{open.source, open.since, DrawFate(router, open.reuse != 0), open.wait > Duration(0), false};
     Trace(r, "opens", open.id, "to", open.source,
           open.wait > Duration(0) ? "watch:" : "ask:", kFateNames[static_cast<std::size_t>(call.fate)]);
     router.calls[open.id] = call;
     const Duration there = Between(milliseconds(1), worst_latency_);
-    At(now_ + there, [this, r, id = open.id, wait = open.wait] { Arrive(r, id, wait); });
+    At(time_.now() + there, [this, r, id = open.id, wait = open.wait] { Arrive(r, id, wait); });
   }
   void Arrive(std::size_t r, CallId id, Duration wait) {
-    Router& router = routers_[r];
+    Router& router = *routers_[r];
     const auto it = router.calls.find(id);
     if (it == router.calls.end()) return;
     Call& call = it->second;
     if (call.fate == Fate::kLost) return;
     if (call.fate == Fate::kRefused) return Fail(r, id, CallEnd::kNotConnected);
-    Act(r, [&](auto& c, auto&) { c.Connected(now_, id); });
+    Act(r, [&](ListCaller& c, ListActions&) { c.Connected(time_.now(), id); });
     if (call.fate == Fate::kBusy) return Fail(r, id, CallEnd::kRefused);
     const bool news = !call.since || *call.since < version_;
     if (news || wait == Duration(0)) return Answer(r, id);
     call.held = true;
-    At(now_ + wait, [this, r, id] {
-      if (routers_[r].calls.contains(id)) Answer(r, id);
+    At(time_.now() + wait, [this, r, id] {
+      if (routers_[r]->calls.contains(id)) Answer(r, id);
     });
   }
   void Change() {
-    changed_[++version_] = now_;
+    changed_[++version_] = time_.now();
     for (std::size_t r = 0; r < routers_.size(); ++r) {
       Trace(r, "version", version_);
       std::vector<CallId> waiting;
       bool watched = false;
-      for (const auto& [id, call] : routers_[r].calls) {
+      for (const auto& [id, call] : routers_[r]->calls) {
         if (call.held) waiting.push_back(id);
         watched = watched || call.watch;
       }
       // What an agent has counts at once, but where a watch has fallen silent.
-      Owe(r, version_, now_ + (agent_ && !watched ? grace_ - kMargin : kTold));
+      Owe(r, version_, time_.now() + (agent_ && !watched ? grace_ - kMargin : kTold));
       for (const CallId id : waiting) Answer(r, id);
     }
   }
   // An answer leaves for a router.
   void Answer(std::size_t r, CallId id) {
-    Router& router = routers_[r];
+    Router& router = *routers_[r];
     const auto it = router.calls.find(id);
     if (it == router.calls.end()) return;
     Call& call = it->second;
     call.held = false;
     const bool news = router.held < version_;
-    const Time written = now_;
+    const Time written = time_.now();
     if (news && (call.fate == Fate::kStopped || call.fate == Fate::kReset) &&
         call.source == router.source) {
       Owe(r, version_, written + grace_ - kMargin);
     }
-    At(now_ + Between(milliseconds(1), worst_latency_),
+    At(time_.now() + Between(milliseconds(1), worst_latency_),
        [this, r, id, version = version_] { Deliver(r, id, version); });
   }
   void Deliver(std::size_t r, CallId id, std::int64_t version) {
-    Router& router = routers_[r];
+    Router& router = *routers_[r];
     const auto it = router.calls.find(id);
     if (it == router.calls.end()) return;
     switch (it->second.fate) {
       case Fate::kWhole:
         router.calls.erase(it);
-        router.answered.push_back(now_);
+        router.answered.push_back(time_.now());
         Hold(r, version);
         Trace(r, "has", id, "whole, version", version);
-        return Act(r, [&](auto& c, auto& out) { c.Answered(now_, id, version, out); });
+        return Act(r, [&](ListCaller& c, ListActions& out) { c.Answered(time_.now(), id, version, out); });
       case Fate::kStopped:
-        return Act(r, [&](auto& c, auto&) { c.Progress(now_, id); });
+        return Act(r, [&](ListCaller& c, ListActions&) { c.Progress(time_.now(), id); });
       case Fate::kReset:
         return Fail(r, id, CallEnd::kBroken);
       case Fate::kOld:
@@ -268,26 +251,26 @@
   }
   void Fail(std::size_t r, CallId id, CallEnd why) {
     Trace(r, "call", id, "ended:", kCallEndNames[static_cast<std::size_t>(why)]);
-    routers_[r].calls.erase(id);
-    Act(r, [&](auto& c, auto& out) { c.Failed(now_, id, why, out); });
+    routers_[r]->calls.erase(id);
+    Act(r, [&](ListCaller& c, ListActions& out) { c.Failed(time_.now(), id, why, out); });
   }
 
   // ---- The invariants ----
 
   void Owe(std::size_t r, std::int64_t version, Time by) {
-    Router& router = routers_[r];
+    Router& router = *routers_[r];
     if (router.held >= version) return;
     const auto [it, fresh] = router.owed.emplace(version, by);
     if (!fresh) it->second = std::min(it->second, by);
     At(by, [this, r, version] { Check(r, version); });
   }
   void Check(std::size_t r, std::int64_t version) {
-    Router& router = routers_[r];
+    Router& router = *routers_[r];
     const auto it = router.owed.find(version);
-    if (it == router.owed.end() || it->second > now_) return;
+    if (it == router.owed.end() || it->second > time_.now()) return;
     // A new configuration counts from the last one.
     const Time after_move = router.moved + (agent_ ? kAgentMoveTime + grace_ - kMargin : kTold);
-    if (router.moved > Time(0) && now_ < after_move) {
+    if (router.moved > Time(0) && time_.now() < after_move) {
       it->second = after_move;
       At(after_move, [this, r, version] { Check(r, version); });
       return;
@@ -297,7 +280,7 @@
       return call.second.watch && call.second.fate == Fate::kSilent;
     });
     const Time latest = changed_[version] + kTold;
-    if (agent_ && silent && now_ < latest) {
+    if (agent_ && silent && time_.now() < latest) {
       it->second = latest;
       At(latest, [this, r, version] { Check(r, version); });
       return;
@@ -305,7 +288,7 @@
     Break(r, "unheard: version " + std::to_string(version));
   }
   void Hold(std::size_t r, std::int64_t version) {
-    Router& router = routers_[r];
+    Router& router = *routers_[r];
     router.held = std::max(router.held, version);
     while (!router.owed.empty() && router.owed.begin()->first <= version)
       router.owed.erase(router.owed.begin());
@@ -315,12 +298,10 @@
   std::ostream* trace_;
   bool agent_ = false, faults_ = true;
   Duration grace_{0}, worst_latency_{0};
-  Time now_{0};
-  std::map<std::pair<Time, std::uint64_t>, std::function<void()>> events_;
-  std::uint64_t last_event_ = 0;
+  VirtualTime time_;
   std::int64_t version_ = 1;
   std::map<std::int64_t, Time> changed_;  // when each version was made
-  std::vector<Router> routers_;
+  std::vector<std::unique_ptr<Router>> routers_;
   ExploreResult result_;
 };
 
--- a/lab/explore/list_press.cpp
+++ b/lab/explore/list_press.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "lab/base/rng.h"
+#include "lab/explore/virtual_time.h"
 
 namespace brasswood::lab {
 namespace {
@@ -33,99 +34,84 @@
       caller.limits.answer = milliseconds(1500);
       caller.limits.drain_grace = milliseconds(1000);
       caller.limits.apart = milliseconds(static_cast<int>(250 * phase));
-      routers_.push_back({make(caller), {}, false, 0});
+      const auto number = static_cast<std::size_t>(r);
+      auto router = std::make_unique<Router>();
+      router->driver = std::make_unique<CallerDriver>(
+          time_, make(caller),
+          CallerDriver::Network{
+              [this, number](const OpenCall& open) { Open(number, open); },
+              [this, number](const CloseCall& close) { routers_[number]->calls.erase(close.id); }});
+      routers_.push_back(std::move(router));
     }
   }
 
   PressFigures Play() {
     for (std::size_t r = 0; r < routers_.size(); ++r) {
-      At(kFollowedFor, [this, r] { Act(r, [&](auto& caller, auto& out) { caller.Move(now_, 1, out); }); });
+      At(kFollowedFor, [this, r] {
+        Act(r, [&](ListCaller& caller, ListActions& out) { caller.Move(time_.now(), 1, out); });
+      });
     }
     At(kFollowedFor + kNewsAfter, [this] { News(); });
-    while (!events_.empty() && (version_ < 2 || Behind() > 0) && events_.begin()->first.first < kLongest) {
-      now_ = events_.begin()->first.first;
-      const auto run = std::move(events_.begin()->second);
-      events_.erase(events_.begin());
-      run();
+    while ((version_ < 2 || Behind() > 0) && time_.PlayNext(kLongest)) {
     }
-    if (version_ == 2 && Behind() == 0) figures_.news_heard = now_ - kFollowedFor - kNewsAfter;
-    const double seconds = std::chrono::duration<double>(now_ - kFollowedFor).count();
+    if (version_ == 2 && Behind() == 0) figures_.news_heard = time_.now() - kFollowedFor - kNewsAfter;
+    const double seconds = std::chrono::duration<double>(time_.now() - kFollowedFor).count();
     figures_.calls_a_second = opened_ / seconds / plan_.routers;
     return figures_;
   }
 
  private:
   struct Router {
-    std::unique_ptr<ListCaller> caller;
+    std::unique_ptr<CallerDriver> driver;
     struct Call {
       bool waits = false;   // for news, once it has been served
       bool served = false;  // and does so now
     };
     std::map<CallId, Call> calls;  // out
     int held = 0;                  // version
-    std::uint64_t timer = 0;
   };
 
   std::size_t Behind() const {
     return static_cast<std::size_t>(std::count_if(routers_.begin(), routers_.end(),
-                                                  [this](const Router& r) { return r.held < version_; }));
-  }
-  void At(Time at, std::function<void()> run) {
-    events_.emplace(std::pair(at, ++last_event_), std::move(run));
-  }
-  template <class Step>
-  void Act(std::size_t r, Step step) {
-    ListActions actions;
-    step(*routers_[r].caller, actions);
-    for (const ListAction& action : actions) {
-      if (const auto* open = std::get_if<OpenCall>(&action)) Open(r, *open);
-      if (const auto* close = std::get_if<CloseCall>(&action)) routers_[r].calls.erase(close->id);
-    }
-    Arm(r);
-  }
-  void Arm(std::size_t r) {
-    const Time next = routers_[r].caller->Next();
-    if (next == Time::max()) return;
-    const std::uint64_t timer = ++routers_[r].timer;
-    At(std::max(next, now_), [this, r, timer] {
-      if (routers_[r].timer == timer) Act(r, [&](auto& caller, auto& out) { caller.Wake(now_, out); });
-    });
+                                                  [this](const auto& r) { return r->held < version_; }));
   }
+  void At(Time at, std::function<void()> run) { time_.At(at, std::move(run)); }
+  void Act(std::size_t r, const CallerDriver::Fact& fact) { routers_[r]->driver->Tell(fact); }
   void Open(std::size_t r, const OpenCall& open) {
     ++opened_;
-    routers_[r].calls[open.id] = {open.wait > Duration(0), false};
-    At(now_ + kOnTheWay, [this, r, id = open.id, wait = open.wait] {
-      if (routers_[r].calls.contains(id)) {
-        Act(r, [&](auto& caller, auto&) { caller.Connected(now_, id); });
+    routers_[r]->calls[open.id] = {open.wait > Duration(0), false};
+    At(time_.now() + kOnTheWay, [this, r, id = open.id, wait = open.wait] {
+      if (routers_[r]->calls.contains(id)) {
+        Act(r, [&](ListCaller& caller, ListActions&) { caller.Connected(time_.now(), id); });
       }
-      free_ = std::max(free_, now_) + plan_.each;  // in turn, whoever closes meanwhile
+      free_ = std::max(free_, time_.now()) + plan_.each;  // in turn, whoever closes meanwhile
       At(free_, [this, r, id, wait] { Serve(r, id, wait); });
     });
   }
   void Serve(std::size_t r, CallId id, Duration wait) {
     ++figures_.calls;
-    const auto call = routers_[r].calls.find(id);
-    if (call == routers_[r].calls.end()) {
+    const auto call = routers_[r]->calls.find(id);
+    if (call == routers_[r]->calls.end()) {
       ++figures_.forsaken;
       return;
     }
-    if (!call->second.waits || routers_[r].held < version_) return Answer(r, id);
+    if (!call->second.waits || routers_[r]->held < version_) return Answer(r, id);
     call->second.served = true;
-    At(now_ + wait, [this, r, id] { Answer(r, id); });
+    At(time_.now() + wait, [this, r, id] { Answer(r, id); });
   }
   void Answer(std::size_t r, CallId id) {
-    if (routers_[r].calls.erase(id) == 0) return;
-    routers_[r].held = version_;
+    if (routers_[r]->calls.erase(id) == 0) return;
+    routers_[r]->held = version_;
     if (version_ == 1 && figures_.all_heard < Duration(0) && Behind() == 0) {
-      figures_.all_heard = now_ - kFollowedFor;
+      figures_.all_heard = time_.now() - kFollowedFor;
     }
-    Act(r, [&](auto& caller, auto& out) { caller.Answered(now_, id, version_, out); });
+    Act(r, [&](ListCaller& caller, ListActions& out) { caller.Answered(time_.now(), id, version_, out); });
   }
   void News() {
     ++version_;
     for (std::size_t r = 0; r < routers_.size(); ++r) {
       std::vector<CallId> waiting;
-      for (const auto& [id, call] : routers_[r].calls) {
+      for (const auto& [id, call] : routers_[r]->calls) {
         if (call.served) waiting.push_back(id);
       }
       for (const CallId id : waiting) Answer(r, id);
@@ -133,10 +119,9 @@
   }
 
   const PressPlan plan_;
-  Time now_{0}, free_{0};
-  std::map<std::pair<Time, std::uint64_t>, std::function<void()>> events_;
-  std::uint64_t last_event_ = 0;
-  std::vector<Router> routers_;
+  VirtualTime time_;
+  Time free_{0};
+  std::vector<std::unique_ptr<Router>> routers_;
   int opened_ = 0, version_ = 1;
   PressFigures figures_;
 };
