--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -48,6 +48,7 @@
       engine_(engine),
       limits_(limits),
       names_(settings.names),
+      began_(loop.Now()),
       drain_grace_(settings.module.rules.drain_grace),
       addresses_{{0, std::move(address)}},
       refresher_(LimitsFor(limits, settings.module, phase), beechledge::ListCalls(settings.module),
@@ -125,9 +126,15 @@
 
 void DiscoveryWatch::Do(const CloseCall& action) {
   ++counters_.ended[static_cast<std::size_t>(action.why)];
-  const bool usual = action.why == CallEnd::kMadeWay || action.why == CallEnd::kMoved;
-  LogLine(usual ? Level::kDebug : Level::kWarn) << "discovery: " << NameOf(action.why);
-  calls_.erase(action.id);
+  const auto call = calls_.find(action.id);
+  if (call == calls_.end()) return;
+  const SourceId source = call->second->source;
+  calls_.erase(call);
+  if (action.why == CallEnd::kMadeWay || action.why == CallEnd::kMoved) {
+    LogLine(Level::kDebug) << "discovery: call " << action.id << ' ' << NameOf(action.why);
+  } else {
+    LogFailure(action.id, source, NameOf(action.why));
+  }
 }
 
 void DiscoveryWatch::Do(const TakePartial& action) {
@@ -256,6 +263,7 @@
   // Where its news may have been written long before it came, a drain has no grace left.
   const Time arrived = refresher_.Undisturbed(id) ? loop_.Arrived() : loop_.Now() - drain_grace_ / 2;
   ++counters_.ended[static_cast<std::size_t>(CallEnd::kAnswered)];
+  counters_.in_vain = 0;
   if (keep) kept_ = std::move(calls_.at(id)->buffer);
   kept_of_ = id;
   calls_.erase(id);
@@ -267,20 +275,31 @@
 }
 
 void DiscoveryWatch::Fail(CallId id, CallEnd why, const std::string& detail) {
-  LogLine(Level::kWarn) << "discovery: " << (detail.empty() ? NameOf(why) : detail);
+  const SourceId source = calls_.at(id)->source;
   ++counters_.ended[static_cast<std::size_t>(why)];
   calls_.erase(id);
+  LogFailure(id, source, detail.empty() ? NameOf(why) : detail);
   engine_.ListRefused();
   ListActions actions;
   refresher_.Failed(loop_.Now(), id, why, actions);
   Carry(actions);
 }
 
+void DiscoveryWatch::LogFailure(CallId id, SourceId source, const std::string& reason) {
+  counters_.most_in_vain = std::max(counters_.most_in_vain, ++counters_.in_vain);
+  const auto age = ListAge();
+  LogLine(Level::kWarn) << "discovery: call " << id << " to " << addresses_.at(source) << ": " << reason
+                        << "; failed calls in a row: " << counters_.in_vain << ", no news for "
+                        << AgeInMs(age ? *age : loop_.Now() - began_)
+                        << " ms, other calls out: " << calls_.size();
+}
+
 std::ostream& operator<<(std::ostream& out, const DiscoveryWatch& watch) {
   const DiscoveryCounters& c = watch.counters();
   out << "discovery: state=" << kListStateNames[static_cast<std::size_t>(watch.state())]
       << " list_age_ms=" << AgeInMs(watch.ListAge()) << " calls=" << c.calls
-      << " connections=" << c.connections << " partial=" << c.partial;
+      << " connections=" << c.connections << " partial=" << c.partial
+      << " most_failed_in_a_row=" << c.most_in_vain;
   for (std::size_t i = 0; i < c.ended.size(); ++i) {
     std::string name = kCallEndNames[i];
     std::replace(name.begin(), name.end(), ' ', '_');
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -25,6 +25,8 @@
   std::uint64_t calls = 0;        // sent
   std::uint64_t connections = 0;  // opened
   std::uint64_t partial = 0;      // answers that stopped half way and were used as far as they came
+  std::uint64_t in_vain = 0;      // calls that failed since the last answer that was taken
+  std::uint64_t most_in_vain = 0;
   std::array<std::uint64_t, static_cast<std::size_t>(CallEnd::kCount)> ended{};
 };
 
@@ -73,11 +75,13 @@
   Parsed TakeAnswer(CallId id, InputEnd input);
   void TakeList(CallId id, HttpAnswer answer, bool keep);
   void Fail(CallId id, CallEnd why, const std::string& detail = {});
+  void LogFailure(CallId id, SourceId source, const std::string& reason);
 
   Loop& loop_;
   Engine& engine_;
   const Limits& limits_;
   const Names& names_;
+  const Time began_;
   const Duration drain_grace_;
   std::map<SourceId, std::string> addresses_;  // the one that is followed, and where a move leads
   SourceId last_source_ = 0;
