--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -49,11 +49,19 @@
   return false;
 }
 
-// A discovery that answers every call with one list, `take` after it came; in turn, or each by itself.
+// How a stand-in for discovery treats the calls that come to it.
+struct CallTreatment {
+  std::chrono::milliseconds take{0};  // from a call to its answer
+  bool in_turn = false;               // one call after the other, else each by itself
+  std::size_t unanswered = 0;         // so many calls get nothing,
+  std::size_t refused = 0;            // and so many after them a 503
+};
+
+// A discovery that answers every call with one list.
 class SlowDiscovery {
  public:
-  SlowDiscovery(std::chrono::milliseconds take, bool in_turn, std::size_t unanswered = 0)
-      : take_(take), in_turn_(in_turn), unanswered_(unanswered), thread_([this] { Serve(); }) {}
+  explicit SlowDiscovery(const CallTreatment& treatment)
+      : treatment_(treatment), thread_([this] { Serve(); }) {}
   ~SlowDiscovery() {
     stop_ = true;
     thread_.join();
@@ -102,13 +110,19 @@
     caller.in.append(bytes, static_cast<std::size_t>(n));
     if (caller.in.find("\r\n\r\n") == std::string::npos) return;
     caller.in.clear();
-    if (calls_++ < unanswered_) {
+    const std::size_t call = calls_++;
+    if (call < treatment_.unanswered) {
       caller.held = true;
       return;
     }
+    if (call < treatment_.unanswered + treatment_.refused) {
+      const std::string refusal = Http("", "503 Service Unavailable");
+      ::send(caller.fd, refusal.data(), refusal.size(), MSG_NOSIGNAL);
+      return;
+    }
     const SteadyTime now = std::chrono::steady_clock::now();
     caller.waits = true;
-    caller.due = (in_turn_ ? std::max(now, free_) : now) + take_;
+    caller.due = (treatment_.in_turn ? std::max(now, free_) : now) + treatment_.take;
     free_ = caller.due;  // it works on each call, forsaken or not
   }
   void Answer() {
@@ -125,9 +139,7 @@
   }
 
   Listener listener_;
-  const std::chrono::milliseconds take_;
-  const bool in_turn_;
-  const std::size_t unanswered_;
+  const CallTreatment treatment_;
   std::size_t calls_ = 0;
   SteadyTime free_{};
   std::vector<Caller> callers_;
@@ -173,7 +185,7 @@
   };
   for (const bool pushed : {false, true}) {
     DYNAMIC_SECTION("each answer takes 2.2 s, lists are " << (pushed ? "pushed" : "asked for")) {
-      SlowDiscovery slow(2200ms, false);
+      SlowDiscovery slow({.take = 2200ms});
       slow.Tell(drains);
       Process process = Start(config(nobody.address(), pushed), nobody.address());
       process.Reload(config(slow.address(), pushed));
@@ -183,7 +195,7 @@
     }
   }
   SECTION("the first four calls are left unanswered, lists are pushed") {
-    SlowDiscovery deaf(0ms, false, 4);
+    SlowDiscovery deaf({.unanswered = 4});
     deaf.Tell(drains);
     Process process = Start(config(nobody.address(), true), nobody.address());
     process.Reload(config(deaf.address(), true));
@@ -193,7 +205,7 @@
   }
   SECTION("calls of eight routers are served in turn, 0.3 s each, with SIGHUP three times in a row") {
     constexpr int kRouters = 8;
-    SlowDiscovery in_turn(300ms, true);
+    SlowDiscovery in_turn({.take = 300ms, .in_turn = true});
     in_turn.Tell(drains);
     const auto fleet = [&](const std::string& discovery) {
       return Replaced(config(discovery, false), R"("balancers":1,)", R"("balancers":8,)");
@@ -238,3 +250,86 @@
   fresh.Write(Http(List(2, false, Target("s1", node.address(), "terminating"))));
   CHECK(WatchCall(fresh).starts_with("GET /api/targets?since=2&"));  // the same watch went on
 }
+
+// Guards against a router whose calls are refused by chance again and again: it called so seldom that its
+// bound of 6 s was over after ten of them.
+TEST_CASE("a router that discovery refuses twenty times in a row hears of a drain within 6 s") {
+  Listener node;
+  SlowDiscovery crowded({.refused = 20});
+  crowded.Tell(Http(List(2, true, Target("s1", node.address(), "terminating"))));
+  const std::string config =
+      Replaced(Router::Config(crowded.address(), Target("s1", node.address(), "in_service")),
+               R"("balancers":1,)", R"("balancers":6,)");
+  const SteadyTime started = std::chrono::steady_clock::now();
+  Process process = Start(config, crowded.address());
+  CHECK(HearsOfDrain(process, "s1", 20s));
+  CHECK(SecondsSince(started) < 6);
+}
+
+// Guards against a drain that an older list takes back, because that list arrives later.
+TEST_CASE("after SIGHUP a snapshot taken before a drain was told does not take the drain back") {
+  Listener draining, serving, moved_to;
+  const std::string other = "," + Target("s2", serving.address(), "in_service");
+  const std::string in_service = Target("s1", draining.address(), "in_service") + other;
+  Router router(in_service);
+  Fd old_watch = router.discovery.Accept();
+  WatchCall(old_watch);
+  router.process.Reload(Router::Config(moved_to.address(), ""));
+  Fd call = moved_to.Accept();
+  WatchCall(call);  // its snapshot is taken now, and written later
+  old_watch.Write(Http(List(2, false, Target("s1", draining.address(), "terminating"))));
+  CHECK(HearsOfDrain(router.process, "s1"));
+  call.Write(Http(List(1, true, in_service)));
+  WatchCall(call);
+  std::this_thread::sleep_for(1100ms);  // the grace is over
+  Fd client = router.Connect();
+  const auto read_keys = [&](const std::string& round) {
+    for (int i = 0; i < 40; ++i) {
+      const std::string key = round + std::to_string(i);
+      client.Write(Read(key, key, 400));
+    }
+  };
+  const auto gets_attempts = [&] {
+    pollfd polled{draining.get(), POLLIN, 0};
+    return ::poll(&polled, 1, 1000) == 1;
+  };
+  read_keys("a");
+  CHECK_FALSE(gets_attempts());
+  // What is newer counts at once, though it takes the drain back.
+  call.Write(Http(List(3, true, in_service)));
+  WatchCall(call);
+  read_keys("b");
+  CHECK(gets_attempts());
+}
+
+// Guards against news that waits for the end of a long answer that neither stops nor ends.
+TEST_CASE("a drain that is told early in a slow answer counts from its entry's last byte") {
+  Listener node;
+  Router router(Target("s1", node.address(), "in_service"));
+  Fd watch = router.discovery.Accept();
+  WatchCall(watch);
+  std::string entries = Target("s1", node.address(), "terminating");
+  const std::size_t first = entries.size();
+  for (int i = 0; i < 30; ++i) {
+    entries += "," + Target("t" + std::to_string(i), node.address(), "in_service");
+  }
+  const std::string answer = Http(List(2, false, entries));
+  const std::size_t told = answer.find(entries) + first;
+  watch.Write(answer.substr(0, told));
+  const SteadyTime written = std::chrono::steady_clock::now();
+  std::atomic<bool> heard{false};
+  std::thread rest([&] {
+    const std::size_t piece = (answer.size() - told) / 40;
+    for (std::size_t at = told; at < answer.size() && !heard; at += piece) {
+      std::this_thread::sleep_for(40ms);
+      const std::string part = answer.substr(at, piece);
+      ::send(watch.get(), part.data(), part.size(), MSG_NOSIGNAL);
+    }
+  });
+  const bool drains = HearsOfDrain(router.process, "s1");
+  const double after = SecondsSince(written);
+  heard = true;
+  rest.join();
+  CHECK(drains);
+  CHECK(after < 0.15);  // a router may be held up for so long
+}
