Call discovery more often while the list is overdue, less often while it is fresh

Change: the wait follows what is left of the 6 s: a quarter of it for who was told, 0.25 s or 25 ms a router, whatever is more, for who was not, for as long as it takes.

--- a/src/discovery/list_refresher.cpp
+++ b/src/discovery/list_refresher.cpp
@@ -1,6 +1,7 @@
 #include "discovery/list_refresher.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace brasswood {
 namespace {
--- a/src/recovery/list_calls.h
+++ b/src/recovery/list_calls.h
@@ -8,10 +8,9 @@
 // but never past kMost, which leaves room for three calls within kTold.
 //
 // Where discovery is short of room, the fleet shares it. A router that heard its word a moment ago gives
-// way to those that have not: it calls again before the list it holds is kTold old, but no sooner than it
-// has to. One that has not heard it tries up to twice as often, kHaste times, as far as the fleet is small
-// enough: who kept losing by chance used to wait longer and longer, while the others' next watches took the
-// room, and one of two dozen heard nothing for over kTold.
+// way to those that have not: the more time its list has left, the longer it waits. One whose list is
+// older than kTold calls as often as the size of the fleet allows, and goes on so until it is told: whoever
+// keeps losing by chance would otherwise be the one that calls least.
 //
 // Where lists are pushed, an agent beside this router has them: it serves this router alone, and what it
 // has counts as told at once. Nothing is to be spread there, and a call that failed is made again well
@@ -20,7 +19,6 @@
 #define BRASSWOOD_RECOVERY_LIST_CALLS_H_
 
 #include <algorithm>
-#include <utility>
 
 #include "beechledge/balancer.h"
 #include "sight/smoothed.h"
@@ -35,7 +33,7 @@
       : agent_(s.list_agent),
         spread_(std::min<Duration>({kEach * std::max(1, s.balancers), s.rules.ask_within / 3, kMost})),
         wait_(std::max(kFirst, spread_)),
-        haste_(std::clamp(kEach / 2 * std::max(1, s.balancers), wait_ / 2, wait_)),
+        haste_(std::clamp(kEach / 2 * std::max(1, s.balancers), std::min(kLeast, wait_), wait_)),
         agent_wait_(std::clamp<Duration>(s.rules.drain_grace / 4, kAgentLeast, kAgentMost)) {}
 
   // Until the first call of this process. `any`: evenly drawn from 0 to 1, as everywhere here.
@@ -43,34 +41,29 @@
   // Over how long the first calls of a fleet that begins together are spread.
   Duration spread() const { return spread_; }
   // Discovery has said its word: the list is true as of now.
-  void Told(Time now) {
-    known_ = now;
-    in_vain_ = 0;
-  }
+  void Told(Time now) { known_ = now; }
+  // It is another discovery from now on, which has not said anything yet.
+  void Forget() { known_ = Time(-kTold); }
   // Until the next call after one that came to nothing.
-  Duration Again(Time now, double any) {
+  Duration Again(Time now, double any) const {
     const double part = 0.5 + 0.5 * any;
     if (agent_) return FromSeconds(Seconds(agent_wait_) * part);
-    Duration wait = in_vain_++ < kHaste ? haste_ : wait_;
-    const Duration left = std::exchange(known_, Time(-kTold)) + kTold - now;
-    if (left > Duration(0)) {
-      wait = std::clamp<Duration>(left / 2, wait_ / 4, std::min(kMost, std::max(wait_, spread_ * 2)));
-    }
-    return FromSeconds(Seconds(wait) * part);
+    const Duration left = std::max(Duration(0), known_ + kTold - now);
+    const Duration most = std::clamp(spread_ * 2, wait_, std::max(wait_, kMost));
+    return FromSeconds(Seconds(std::clamp(left / 4, haste_, most)) * part);
   }
 
  private:
-  static constexpr Duration kMost = std::chrono::seconds(2);        // between two calls
-  static constexpr Duration kFirst = std::chrono::seconds(1);       // a few routers wait so long, too
-  static constexpr Duration kEach = std::chrono::milliseconds(50);  // for each router of the fleet
-  static constexpr int kHaste = 4;
+  static constexpr Duration kMost = std::chrono::seconds(2);          // between two calls
+  static constexpr Duration kFirst = std::chrono::seconds(1);         // a few routers wait so long, too
+  static constexpr Duration kEach = std::chrono::milliseconds(50);    // for each router of the fleet
+  static constexpr Duration kLeast = std::chrono::milliseconds(250);  // between two calls, small fleets
   static constexpr Duration kAgentLeast = std::chrono::milliseconds(25);
   static constexpr Duration kAgentMost = std::chrono::milliseconds(250);
 
   bool agent_;
   Duration spread_, wait_, haste_, agent_wait_;
-  int in_vain_ = 0;     // calls since discovery's last word
-  Time known_{-kTold};  // when the list was last known to be true; long ago once a wait has made up for it
+  Time known_{-kTold};  // when the list was last known to be true
 };
 
 }  // namespace beechledge
--- a/tests/sight/parts_test.cpp
+++ b/tests/sight/parts_test.cpp
@@ -216,7 +216,7 @@
     double room;  // calls a second
   };
   const brasswood::Limits limits;
-  for (const auto& [routers, room] : {Case{24, 20}, {40, 30}, {100, 75}, {300, 200}}) {
+  for (const auto& [routers, room] : {Case{6, 5}, {10, 8}, {24, 20}, {40, 30}, {100, 75}, {300, 200}}) {
     for (std::uint64_t seed = 1; seed <= 300; ++seed) {
       std::mt19937_64 random(seed);
       const auto any = [&] { return std::uniform_real_distribution<double>(0, 1)(random); };
