Let calls to addresses named in between go on, and share a crowded discovery

Seen: six routers given four configurations in a row before a discovery that serves calls in turn, 250 ms or 300 ms each, and refuses those that would wait over 2 s: in 188 of 400 starts one router had its list later than 6 s. Cause: each configuration closed a call that stood in the line, which is served all the same; a refused second call was followed by more while the first still waited; and who had news from the old address gave way as if the new one had told it. Change: a call to an address named in between goes on (three at most) and its answer counts, until the new address has told its list; while a call waits, a refused one is followed no sooner than a call beside it; after a move a router counts as not told.

--- a/lab/explore/list_press.h
+++ b/lab/explore/list_press.h
@@ -10,20 +10,24 @@
   int routers = 30;
   Duration each{0};  // discovery takes for a call
   std::uint64_t seed = 1;
+  Duration longest_line{0};  // a call that would wait longer is refused at once; 0: none is
+  int configurations = 1;    // given to each router, each naming another address of the same service
+  Duration apart{0};         // from one of them to the next
 };
 
 constexpr Duration kNewsAfter = std::chrono::seconds(20);
 
 struct PressFigures {
   Duration all_heard{
-      -1};  // from the new configuration until every router had its list; below 0: not all did
+      -1};  // from the last new configuration until every router had its list; below 0: not all did
   int calls = 0, forsaken = 0;  // served in all, and of those for routers that had closed them
-  double calls_a_second = 0;    // of one router, in the mean over the run
+  int refused = 0;
+  double calls_a_second = 0;  // of one router, in the mean over the run
   Duration news_heard{
       -1};  // from a change kNewsAfter later until every router had it; below 0: not all did
 };
 
-// All routers are given a new configuration at once, and their calls come to one discovery.
+// All routers are given new configurations at once, and their calls come to one discovery.
 PressFigures MeasurePress(const PressPlan& plan, const MakeCaller& make);
 
 // The figures of both machines for fleets of 6, 30 and 300 routers and 1, 10 and 50 ms a call.
--- a/src/discovery/list_refresher.cpp
+++ b/src/discovery/list_refresher.cpp
@@ -69,7 +69,7 @@
 void ListRefresher::AskWhole(Time now, ListActions& out) {
   following_ = true;
   version_.reset();
-  CloseWhere(target_, 0, CallEnd::kMadeWay, out);
+  CloseWhere(target_, CallEnd::kMadeWay, out);
   Disturb(now, Duration(0));
   Step(now, CallEnd::kMadeWay, out);
 }
@@ -84,9 +84,14 @@
     if (!AnyOut() || limits_.agent) Disturb(now, Duration(0));
     return Step(now, CallEnd::kMoved, out);
   }
-  if (moving()) CloseWhere(target_, 0, CallEnd::kMoved, out);
   target_ = to;
   disturbed_ = false;
+  if (moving()) {
+    BoundPassing(out);
+    pacing_.Forget();
+  } else if (Watching()) {
+    CloseOthers(CallEnd::kMoved, out);
+  }
   if (moving() || !Watching()) Disturb(now, Duration(0));
   Step(now, CallEnd::kMoved, out);
 }
@@ -115,19 +120,17 @@
     usual_ /= 2;
   }
   heard_ = now;
-  pacing_.Told(now);
   version_ = version;
   if (call.source == target_) {
-    const bool moved = moving();
-    const SourceId before = current_;
+    pacing_.Told(now);
     current_ = target_;
-    if (moved) CloseWhere(before, 0, CallEnd::kMoved, out);
-    CloseWhere(target_, 0, CallEnd::kMadeWay, out);
+    CloseOthers(CallEnd::kMoved, out);
+    CloseWhere(target_, CallEnd::kMadeWay, out);
     disturbed_ = ask_first_ = false;
     next_open_ = Time::max();
     unanswered_ = lacks_ = 0;
   }
-  Open(now, call.source, true, id, out);
+  if (call.source == target_ || call.source == current_) Open(now, call.source, true, id, out);
   Step(now, CallEnd::kAnswered, out);
   return true;
 }
@@ -186,8 +189,10 @@
   });
 }
 
-bool ListRefresher::AnyOut() const {
-  return std::any_of(calls_.begin(), calls_.end(), [this](const Call& c) { return c.source == target_; });
+bool ListRefresher::AnyOut() const { return Calls(target_); }
+
+bool ListRefresher::Calls(SourceId source) const {
+  return std::any_of(calls_.begin(), calls_.end(), [source](const Call& c) { return c.source == source; });
 }
 
 void ListRefresher::Open(Time now, SourceId source, bool watch, CallId reuse, ListActions& out) {
@@ -207,10 +212,28 @@
   out.push_back(CloseCall{id, why});
 }
 
-void ListRefresher::CloseWhere(SourceId source, CallId but, CallEnd why, ListActions& out) {
+void ListRefresher::CloseWhere(SourceId source, CallEnd why, ListActions& out) {
+  const std::vector<Call> before = calls_;
+  for (const Call& call : before) {
+    if (call.source == source) Close(call.id, why, out);
+  }
+}
+
+// All calls but those to the target.
+void ListRefresher::CloseOthers(CallEnd why, ListActions& out) {
+  const std::vector<Call> before = calls_;
+  for (const Call& call : before) {
+    if (call.source != target_) Close(call.id, why, out);
+  }
+}
+
+// Of the calls to addresses named in between those stay that have waited longest.
+void ListRefresher::BoundPassing(ListActions& out) {
+  std::size_t passing = 0;
   const std::vector<Call> before = calls_;
   for (const Call& call : before) {
-    if (call.source == source && call.id != but) Close(call.id, why, out);
+    if (call.source == target_ || call.source == current_) continue;
+    if (++passing > kMostPassing) Close(call.id, CallEnd::kMoved, out);
   }
 }
 
@@ -308,9 +331,12 @@
         return Disturb(now, first ? std::min(limits_.apart, limits_.drain_grace / 4) : quick);
       }
       [[fallthrough]];
-    default:
+    default: {
+      // A call that still waits has its place in discovery's line; more of them would take that of others.
+      const Duration again = pacing_.Again(now, Any());
       Disturb(now, Duration(0));
-      next_open_ = now + pacing_.Again(now, Any());
+      next_open_ = now + (AnyOut() && !limits_.agent ? std::max(again, Gap()) : again);
+    }
   }
 }
 
--- a/src/discovery/list_refresher.h
+++ b/src/discovery/list_refresher.h
@@ -14,8 +14,9 @@
 // oldest call stays to its end, so that a slow discovery, or one that serves calls in turn, answers it in
 // its turn; of the others, the one that has waited longer makes way once kMostCalls are out.
 //
-// After a move to another address (a new configuration) the calls to the old one go on, and what they tell
-// counts, until the new one has told its whole list: versions are each service's own.
+// After a move to another address (a new configuration) the calls to the old one go on, and so do a few to
+// addresses that were named in between: a slow discovery has them in its line, and what they tell counts.
+// They end when the new address has told its whole list.
 #ifndef BRASSWOOD_DISCOVERY_LIST_REFRESHER_H_
 #define BRASSWOOD_DISCOVERY_LIST_REFRESHER_H_
 
@@ -109,7 +110,8 @@
 
 class ListRefresher {
  public:
-  static constexpr std::size_t kMostCalls = 3;  // out at once to one source
+  static constexpr std::size_t kMostCalls = 3;    // out at once to one source
+  static constexpr std::size_t kMostPassing = 3;  // to all sources that were named in between
 
   // `held`: the version of the list held at the start, if any. `pacing`: waits after refusals.
   ListRefresher(const RefreshLimits& limits, const beechledge::ListCalls& pacing,
@@ -148,7 +150,8 @@
   bool moving() const { return target_ != current_; }
   SourceId current() const { return current_; }
   SourceId target() const { return target_; }
-  std::size_t calls() const { return calls_.size(); }
+  // Is any call to this source out?
+  bool Calls(SourceId source) const;
   // Since the list was last known to be true; nothing before the first word of this process.
   std::optional<Duration> Age(Time now) const;
 
@@ -173,7 +176,9 @@
   Time LimitOf(const Call& call) const;
   void Open(Time now, SourceId source, bool watch, CallId reuse, ListActions& out);
   void Close(CallId id, CallEnd why, ListActions& out);
-  void CloseWhere(SourceId source, CallId but, CallEnd why, ListActions& out);
+  void CloseWhere(SourceId source, CallEnd why, ListActions& out);
+  void CloseOthers(CallEnd why, ListActions& out);
+  void BoundPassing(ListActions& out);
   void MakeRoom(ListActions& out);
   void Disturb(Time now, Duration wait);
   void AfterFailure(Time now, CallEnd why);
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -77,7 +77,9 @@
   refresher_.Move(loop_.Now(), source, actions);
   Carry(actions);
   std::erase_if(addresses_, [this](const auto& named) {
-    return named.first != refresher_.current() && named.first != refresher_.target();
+    const SourceId source_of = named.first;
+    return source_of != refresher_.current() && source_of != refresher_.target() &&
+           !refresher_.Calls(source_of);
   });
 }
 
--- a/tests/lab/explore_test.cpp
+++ b/tests/lab/explore_test.cpp
@@ -42,3 +42,25 @@
   CHECK(crowded.all_heard <= milliseconds(15010));
   CHECK(MeasurePress({300, milliseconds(50), 1}, MakeChained).all_heard < brasswood::Duration(0));
 }
+
+// Guards against a small fleet whose calls, forsaken at each new configuration, keep a slow discovery busy
+// until one router is refused for longer than its bound.
+TEST_CASE("a slow discovery that refuses long waits tells a small fleet after configurations in a row") {
+  using std::chrono::milliseconds;
+  for (const int each : {200, 250, 300}) {
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+      PressPlan plan;
+      plan.routers = 6;
+      plan.each = milliseconds(each);
+      plan.seed = seed;
+      plan.longest_line = milliseconds(2000);
+      plan.configurations = 4;
+      plan.apart = milliseconds(400);
+      const PressFigures f = MeasurePress(plan, MakeRefresher);
+      INFO(each << " ms a call, seed " << seed << ", " << f.refused << " calls refused");
+      CHECK(f.refused > 0);
+      CHECK(f.all_heard >= brasswood::Duration(0));
+      CHECK(f.all_heard < std::chrono::seconds(6));
+    }
+  }
+}
