--- a/src/config/config.h
+++ b/src/config/config.h
@@ -9,7 +9,7 @@
 
 #include "config/limits.h"
 #include "config/settings.h"
-#include "core/server_list.h"
+#include "discovery/server_list.h"
 
 namespace brasswood {
 
--- a/src/core/ends.h
+++ b/src/core/ends.h
@@ -12,12 +12,12 @@
 
 #include "base/clock.h"
 #include "beechledge/balancer.h"
+#include "discovery/server_directory.h"
 
 namespace brasswood {
 
 using RequestId = std::uint64_t;
 using AttemptId = std::uint64_t;
-using ServerId = beechledge::ServerId;
 
 // What a request asks for, as its client put it. Nothing in it changes on its way to a server.
 struct RequestContent {
@@ -74,14 +74,6 @@
   bool streamed = false;  // of a kOk: its value went on in pieces, and the body is empty
 };
 
-struct Server {
-  std::string uid, endpoint;  // no uid: a number that no server has
-  bool origin = false;
-  beechledge::Availability availability = beechledge::Availability::kRemoved;
-  Time since{0};    // when it was told to be as it is
-  Time started{0};  // its last start
-};
-
 // A back end: carries attempts and probes to servers and reports each one's end to the engine exactly
 // once, unless it was abandoned.
 class Back {
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -54,7 +54,8 @@
       limits_(limits),
       now_(std::move(now)),
       deadlines_(deadlines),
-      counters_(counters) {
+      counters_(counters),
+      directory_(settings.origin_kind) {
   counters_.by_class.resize(settings.classes.size());
 }
 
@@ -245,10 +246,6 @@
   BackOf(a.server).Start(id, a.server, request->content, until, sent_by);
 }
 
-bool Engine::Serving(const Server& server, Time now, Duration grace) const {
-  return server.availability == Availability::kUp || now - server.since < grace;
-}
-
 bool Engine::RunsOnceOnly(const Request& request) const {
   const auto of = static_cast<std::size_t>(request.request_class);
   return of < settings_.classes.size() && settings_.classes[of].effect == beechledge::Effect::kUnsafe;
@@ -259,14 +256,14 @@
 SendVerdict Engine::JudgeSending(const Request* request, ServerId server, int attempt) const {
   SendFacts facts;
   facts.request_open = request != nullptr && !request->ended;
-  facts.server_known = server < servers_.size();
+  facts.server_known = server < directory_.size();
   if (!facts.request_open || !facts.server_known) return JudgeSend(facts);
   facts.now = now_();
   facts.send_by = std::min(request->deadline, request->repeat_by);
   facts.attempts_left = attempt < limits_.max_attempts;
   facts.alone = request->out.empty() || settings_.allowed.parallel_tries;
   facts.harmless = !request->may_have_run || !RunsOnceOnly(*request);
-  facts.server_serving = Serving(servers_[server], facts.now, settings_.rules.drain_grace / 2);
+  facts.server_serving = directory_.Serving(server, facts.now, settings_.rules.drain_grace / 2);
   return JudgeSend(facts);
 }
 
@@ -316,7 +313,7 @@
   Request* request = requests_.Find(attempt.request);
   if (request == nullptr) return;
   LogLine(Level::kDebug) << "attempt " << request->content->id << '/' << attempt.number << " at "
-                         << servers_[attempt.server].uid << ' '
+                         << directory_.At(attempt.server).uid << ' '
                          << NameOf(static_cast<std::size_t>(end.result)) << " after "
                          << latency.count() / 1000 << " us";
   std::erase(request->out, id);
@@ -409,7 +406,7 @@
 void Engine::Do(const beechledge::Subscribe& a) { watch_->Follow(a.on); }
 void Engine::Do(const beechledge::FetchList&) { watch_->FetchAll(); }
 void Engine::Do(const beechledge::Probe& a) {
-  if (!settings_.allowed.probes || a.server >= servers_.size()) return;
+  if (!settings_.allowed.probes || a.server >= directory_.size()) return;
   const AttemptId id = attempts_.Add({0, a.server, 0, now_(), {}, {}});
   attempts_.Find(id)->deadline = deadlines_.Set(now_() + limits_.probe, [this, id] {
     GiveUp(id, Result::kTimeout);
@@ -419,14 +416,14 @@
   BackOf(a.server).Probe(id, a.server, settings_.reports == beechledge::ReportSource::kProbe);
 }
 void Engine::Do(const beechledge::CloseIdle& a) {
-  if (a.server < servers_.size()) BackOf(a.server).CloseIdle(a.server);
+  if (a.server < directory_.size()) BackOf(a.server).CloseIdle(a.server);
 }
 void Engine::Do(const beechledge::Log& a) { LogLine(Level::kInfo) << "module: " << a.text; }
 
 // ---- Servers ----
 
 const Server* Engine::FindServer(ServerId id) const {
-  return id < servers_.size() ? &servers_[id] : nullptr;
+  return id < directory_.size() ? &directory_.At(id) : nullptr;
 }
 
 SendVerdict Engine::JudgeFirstByte(AttemptId id, const std::string& endpoint) const {
@@ -435,12 +432,11 @@
   SendFacts facts;
   facts.request_open = request != nullptr && !request->ended;
   if (!facts.request_open) return JudgeSend(facts);
-  const Server& server = servers_[attempt->server];
   facts.client_present = request->front->Present(request->ticket);
   facts.now = now_();
   facts.send_by = attempt->sent_by;
-  facts.server_serving = Serving(server, facts.now, settings_.rules.drain_grace / 2);
-  facts.same_endpoint = server.endpoint == endpoint;
+  facts.server_serving = directory_.Serving(attempt->server, facts.now, settings_.rules.drain_grace / 2);
+  facts.same_endpoint = directory_.At(attempt->server).endpoint == endpoint;
   return JudgeSend(facts);
 }
 
@@ -469,19 +465,23 @@
   Invariants& invariants = counters_.invariants;
   const std::string& who = request->content->id;
   const Time now = now_();
-  const Server& server = servers_[attempt->server];
+  const Server& server = directory_.At(attempt->server);
+  const Duration grace = settings_.rules.drain_grace;
+  const bool serving =
+      directory_.Serving(attempt->server, now, grace) && ledger_.MaySend(server.uid, now, grace);
   const bool others_end = request->out.size() == 1 || settings_.allowed.parallel_tries;
   invariants.Expect(!request->ended, Invariant::kSentForOpen, who);
   invariants.Expect(now < attempt->sent_by + Invariants::kMostHeldUp, Invariant::kSentInTime, who);
-  invariants.Expect(Serving(server, now, settings_.rules.drain_grace), Invariant::kSentToServing, who);
+  invariants.Expect(serving, Invariant::kSentToServing, who);
   invariants.Expect(others_end, Invariant::kSentAlone, who);
   invariants.Expect(!request->may_have_run || !RunsOnceOnly(*request), Invariant::kSentHarmlessly, who);
 }
 
 void Engine::Remember(const ServerList& known, bool old) {
-  rev_ = known.rev;
-  Take(known, ListKind::kRemembered, old);
+  Apply(directory_.Remember(known, now_()), ListKind::kRemembered, old);
   ready_ = true;
+  LogLine(Level::kInfo) << "list of version " << known.rev << " held from before, " << known.entries.size()
+                        << " servers";
   if (Logs(Level::kDebug)) LogBeliefs();
 }
 
@@ -489,94 +489,89 @@
 void Engine::LogBeliefs() {
   LogLine line(Level::kDebug);
   line << "avoids:";
-  for (ServerId id = 0; id < servers_.size(); ++id) {
-    if (balancer_.Avoids(id)) line << ' ' << servers_[id].uid;
+  for (ServerId id = 0; id < directory_.size(); ++id) {
+    if (balancer_.Avoids(id)) line << ' ' << directory_.At(id).uid;
   }
   deadlines_.Set(now_() + std::chrono::milliseconds(500), [this] { LogBeliefs(); });
 }
-void Engine::Told(const ServerList& list, Time arrived) {
+
+void Engine::Told(const ServerList& list, const ListOrigin& origin) {
   ++counters_.lists;
-  rev_ = list.rev;
-  Take(list, list.all ? ListKind::kAll : ListKind::kChanges, false, arrived);
+  const DirectoryUpdate update = directory_.Merge(list, origin);
+  LogVerdict(update, list, origin);
+  if (update.verdict == ListVerdict::kRestartTaken) ledger_.Restart();
+  const bool whole = update.verdict == ListVerdict::kTaken || update.verdict == ListVerdict::kRestartTaken;
+  if (whole) {
+    ledger_.Note(list, origin.arrived);
+  } else if (update.verdict == ListVerdict::kNoBase) {
+    ledger_.NotePart(list, origin.arrived);
+  }
+  if (!whole && update.named.empty()) return;
+  Apply(update, whole && list.all ? ListKind::kAll : ListKind::kChanges);
+  if (!whole) return;
   confirmed_ = true;
   TakeUp();
 }
-// Guards against sends to a server whose drain was written and whose list never came whole. Leaving a
-// server out is safe whatever the rest says: the next whole answer goes on from the version held, and says
-// it anew.
-void Engine::ToldInPart(const ServerList& part) {
-  ServerList drains;
-  drains.all = false;
-  for (const ServerEntry& entry : part.entries) {
-    const auto known = by_uid_.find(entry.uid);
-    if (known == by_uid_.end() || entry.availability == Availability::kUp) continue;
-    if (servers_[known->second].availability != Availability::kUp) continue;
-    drains.entries.push_back(told_[known->second]);
-    drains.entries.back().availability = entry.availability;
-  }
-  if (drains.entries.empty()) return;
-  LogLine(Level::kInfo) << "list of version " << part.rev << " came in part: " << drains.entries.size()
-                        << " servers drain";
-  Take(drains, ListKind::kChanges, false, now_() - settings_.rules.drain_grace / 2);
+
+// An answer that is not whole may have been on its way for long: its drains have no grace left.
+void Engine::ToldInPart(const ServerList& part, const ListOrigin& origin) {
+  ledger_.NotePart(part, origin.arrived);
+  ListOrigin late = origin;
+  late.told = std::min(origin.told, now_() - settings_.rules.drain_grace / 2);
+  const DirectoryUpdate update = directory_.MergePart(part, late);
+  if (!update.named.empty()) Apply(update, ListKind::kChanges);
 }
+
 void Engine::ListRefused() { ++counters_.lists_refused; }
 
-void Engine::Take(const ServerList& list, ListKind kind, bool old, Time arrived) {
-  const Time now = std::min(now_(), arrived);
+void Engine::LogVerdict(const DirectoryUpdate& update, const ServerList& list,
+                        const ListOrigin& origin) const {
+  if (update.verdict == ListVerdict::kTaken) return;
+  LogLine(Level::kInfo) << "list of version " << list.rev << " from source " << origin.source << ", call "
+                        << origin.call << ": "
+                        << kListVerdictNames[static_cast<std::size_t>(update.verdict)] << "; asked for "
+                        << (now_() - origin.begun).count() / 1000000
+                        << " ms ago, version held: " << directory_.held().value_or(-1);
+}
+
+void Engine::LogChange(ServerId id) const {
+  const Server& server = directory_.At(id);
+  LogLine(Level::kInfo) << "server " << server.uid << " at " << server.endpoint << " is "
+                        << (server.availability == Availability::kUp         ? "in service"
+                            : server.availability == Availability::kDraining ? "terminating"
+                                                                             : "terminated")
+                        << ", version " << directory_.VersionOf(id) << " of source "
+                        << directory_.SourceOf(id);
+}
+
+beechledge::ServerEntry Engine::EntryFor(ServerId id) const {
+  const ServerEntry entry = directory_.Effective(id);
+  beechledge::ServerEntry e;
+  e.id = id;
+  e.name = entry.uid;
+  e.zone = entry.zone;
+  e.kind = entry.kind;
+  e.cell = entry.cell;
+  e.availability = entry.availability;
+  e.scale = entry.scale;
+  e.started = entry.started;
+  return e;
+}
+
+void Engine::Apply(const DirectoryUpdate& update, ListKind kind, bool old) {
+  // Kept connections lead to where it was, or to the process that it was.
+  for (const ServerId id : update.moved) BackOf(id).CloseIdle(id);
+  for (const ServerId id : update.changed) LogChange(id);
   beechledge::ServerList told;
   told.kind = kind;
   told.old = old;
-  std::vector<bool> named(servers_.size());
-  for (const ServerEntry& listed : list.entries) {
-    const bool reuse = !unused_.empty();
-    const auto [it, fresh] =
-        by_uid_.emplace(listed.uid, reuse ? unused_.back() : static_cast<ServerId>(servers_.size()));
-    const ServerId id = it->second;
-    if (fresh && reuse) {
-      unused_.pop_back();
-    } else if (fresh) {
-      servers_.emplace_back();
-      told_.emplace_back();
-      named.push_back(false);
-    }
-    named[id] = true;
-    told_[id] = listed;
-    const ServerEntry entry = Effective(listed);
-    Server& m = servers_[id];
-    // Kept connections lead to where it was, or to the process that it was.
-    const bool moved = !fresh && (m.endpoint != entry.endpoint || m.started != entry.started);
-    if (moved) BackOf(id).CloseIdle(id);
-    if (fresh || m.availability != entry.availability) {
-      m.since = now;
-      LogLine(Level::kInfo) << "server " << entry.uid << " at " << entry.endpoint << " is "
-                            << (entry.availability == Availability::kUp         ? "in service"
-                                : entry.availability == Availability::kDraining ? "terminating"
-                                                                                : "terminated");
-    }
-    m.uid = entry.uid;
-    m.endpoint = entry.endpoint;
-    m.started = entry.started;
-    // Decided once: an attempt must end at the back end that it began at.
-    if (fresh) m.origin = settings_.origin_kind >= 0 && entry.kind == settings_.origin_kind;
-    m.availability = entry.availability;
-    beechledge::ServerEntry e;
-    e.id = id;
-    e.name = entry.uid;
-    e.zone = entry.zone;
-    e.kind = entry.kind;
-    e.cell = entry.cell;
-    e.availability = entry.availability;
-    e.scale = entry.scale;
-    e.started = entry.started;
-    told.entries.push_back(std::move(e));
-  }
-  for (ServerId id = 0; kind != ListKind::kChanges && id < servers_.size(); ++id) {
-    if (named[id] || servers_[id].availability == Availability::kRemoved) continue;
-    servers_[id].availability = Availability::kRemoved;
-    servers_[id].since = now;
+  if (kind == ListKind::kChanges) {
+    for (const ServerId id : update.named) told.entries.push_back(EntryFor(id));
   }
-  for (ServerId id = 0; id < servers_.size(); ++id) {
-    if (servers_[id].availability == Availability::kRemoved) BackOf(id).CloseIdle(id);
+  for (ServerId id = 0; id < directory_.size(); ++id) {
+    const bool removed = directory_.At(id).availability == Availability::kRemoved;
+    if (removed) BackOf(id).CloseIdle(id);
+    if (!removed && kind != ListKind::kChanges) told.entries.push_back(EntryFor(id));
   }
   Push(std::move(told));
   Retire();
@@ -586,13 +581,14 @@
 
 Snapshot Engine::Keep(std::size_t most_keys) const {
   Snapshot s;
-  s.list.rev = rev_;
-  s.suspended = suspended_;
+  s.list.rev = directory_.held().value_or(-1);
+  s.suspended = directory_.suspended();
   std::unordered_map<ServerId, ServerId> places;
-  for (ServerId id = 0; id < servers_.size(); ++id) {
-    if (servers_[id].uid.empty() || servers_[id].availability == Availability::kRemoved) continue;
+  for (ServerId id = 0; id < directory_.size(); ++id) {
+    const Server& server = directory_.At(id);
+    if (server.uid.empty() || server.availability == Availability::kRemoved) continue;
     places[id] = static_cast<ServerId>(s.list.entries.size());
-    s.list.entries.push_back(told_[id]);
+    s.list.entries.push_back(directory_.Told(id));
   }
   s.learnt = balancer_.Keep(now_(), most_keys);
   Renumber(s.learnt, places);
@@ -604,7 +600,7 @@
   faith_ = faith;
   // Hints bind to the list at hand. Guards against seconds without them, until a large fleet's first calls
   // are through: in those, keys that had moved go back to where they were, and drive others out.
-  if (!servers_.empty()) TakeUp();
+  if (directory_.size() > 0) TakeUp();
 }
 
 void Engine::TakeUp() {
@@ -612,13 +608,11 @@
   std::unordered_map<ServerId, ServerId> ids;  // by place
   const auto& entries = kept_->list.entries;
   for (ServerId place = 0; place < entries.size(); ++place) {
-    const auto it = by_uid_.find(entries[place].uid);
-    if (it == by_uid_.end()) continue;
-    const Server& m = servers_[it->second];
+    const auto id = directory_.Find(entries[place].uid);
+    if (!id || directory_.At(*id).availability != Availability::kUp) continue;
     // Another start has other contents, and another size perhaps.
-    if (m.availability != Availability::kUp || told_[it->second].started != entries[place].started)
-      continue;
-    ids[place] = it->second;
+    if (directory_.Told(*id).started != entries[place].started) continue;
+    ids[place] = *id;
   }
   Renumber(kept_->learnt, ids);
   balancer_.Recall(now_(), kept_->learnt, faith_);
@@ -629,45 +623,22 @@
 
 // ---- What operators say ----
 
-ServerEntry Engine::Effective(const ServerEntry& told) const {
-  ServerEntry e = told;
-  const bool out = suspended_.contains(e.uid) || returning_.contains(e.uid);
-  if (out && e.availability == Availability::kUp) {
-    e.availability = Availability::kDraining;
-  }
-  // Guards against a restart that discovery does not tell, or tells late: what the server held is gone,
-  // and the module is to treat it as cold from the resume.
-  if (const auto it = resumed_.find(e.uid); it != resumed_.end())
-    e.started = std::max(e.started, it->second);
-  return e;
-}
-
-void Engine::Retell(const std::string& uid) {
-  const auto it = by_uid_.find(uid);
-  if (it == by_uid_.end()) return;
-  ServerList changed;
-  changed.all = false;
-  changed.entries.push_back(told_[it->second]);
-  Take(changed, ListKind::kChanges);
-}
-
 bool Engine::Suspend(const std::string& uid, bool any) {
-  const auto it = by_uid_.find(uid);
-  if (it == by_uid_.end() && !any) return false;
-  if (!suspended_.insert(uid).second) return true;
+  if (!directory_.Find(uid) && !any) return false;
+  if (!directory_.Suspend(uid)) return true;
   if (const auto back = returning_.find(uid); back != returning_.end()) {
     deadlines_.Drop(back->second);
     returning_.erase(back);
   }
   LogLine(Level::kInfo) << "server " << uid << " suspended by hand";
-  Retell(uid);
+  const DirectoryUpdate update = directory_.Reconsider(uid, now_());
+  if (!update.named.empty()) Apply(update, ListKind::kChanges);
   return true;
 }
 
 bool Engine::Resume(const std::string& uid, bool any) {
-  const auto it = by_uid_.find(uid);
-  if (it == by_uid_.end() && !any && !suspended_.contains(uid)) return false;
-  if (suspended_.erase(uid) == 0) return true;
+  if (!directory_.Find(uid) && !any && !suspended().contains(uid)) return false;
+  if (!directory_.Resume(uid)) return true;
   LogLine(Level::kInfo) << "server " << uid << " resumed by hand; it counts as started now";
   // Guards against work that reaches the server before the yes reaches whoever called: until then it is
   // out.
@@ -677,16 +648,18 @@
 
 void Engine::PutBack(const std::string& uid) {
   returning_.erase(uid);
-  resumed_[uid] = now_();
-  Retell(uid);
+  directory_.PutBack(uid, now_());
+  const DirectoryUpdate update = directory_.Reconsider(uid, now_());
+  if (!update.named.empty()) Apply(update, ListKind::kChanges);
 }
 
 Engine::Census Engine::Count() const {
   Census c;
-  for (const Server& m : servers_) {
-    if (m.uid.empty() || m.origin || m.availability == Availability::kRemoved) continue;
+  for (ServerId id = 0; id < directory_.size(); ++id) {
+    const Server& server = directory_.At(id);
+    if (server.uid.empty() || server.origin || server.availability == Availability::kRemoved) continue;
     ++c.known;
-    c.skipped += suspended_.contains(m.uid);
+    c.skipped += suspended().contains(server.uid);
   }
   c.skipped += balancer_.Avoided();
   return c;
@@ -696,25 +669,17 @@
 // memory and in every loop over servers. One is forgotten, and its number free for another, once it has
 // been gone for a while and neither an open request nor an attempt or probe refers to it.
 void Engine::Retire() {
-  const Time old = now_() - limits_.forget;
-  std::vector<bool> gone(servers_.size());
-  for (ServerId id = 0; id < servers_.size(); ++id) {
-    const Server& m = servers_[id];
-    gone[id] = !m.uid.empty() && m.availability == Availability::kRemoved && m.since <= old;
-  }
-  if (std::find(gone.begin(), gone.end(), true) == gone.end()) return;
+  const Time before = now_() - limits_.forget;
+  if (!directory_.AnyRemovedBefore(before)) return;
+  std::vector<bool> referred(directory_.size());
   requests_.Each([&](RequestId, const Request& request) {
-    for (const ServerId id : request.asked) gone[id] = false;
+    for (const ServerId id : request.asked) referred[id] = true;
   });
-  attempts_.Each([&](AttemptId, const Attempt& attempt) { gone[attempt.server] = false; });
-  for (ServerId id = 0; id < servers_.size(); ++id) {
-    if (!gone[id]) continue;
+  attempts_.Each([&](AttemptId, const Attempt& attempt) { referred[attempt.server] = true; });
+  for (ServerId id = 0; id < directory_.size(); ++id) {
+    if (referred[id] || !directory_.RemovedBefore(id, before)) continue;
     BackOf(id).Forget(id);
-    by_uid_.erase(servers_[id].uid);
-    resumed_.erase(servers_[id].uid);
-    servers_[id] = {};
-    told_[id] = {};
-    unused_.push_back(id);
+    directory_.Forget(id);
   }
 }
 
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -21,8 +21,10 @@
 #include "core/deadlines.h"
 #include "core/ends.h"
 #include "core/send_guard.h"
-#include "core/server_list.h"
 #include "core/slots.h"
+#include "discovery/news_ledger.h"
+#include "discovery/server_directory.h"
+#include "discovery/server_list.h"
 #include "state/snapshot.h"
 
 namespace brasswood {
@@ -64,16 +66,15 @@
   // The attempt's last byte has left.
   void AttemptLeft(AttemptId id);
 
-  // From discovery.
+  // From discovery, whose news the directory orders (discovery/server_directory.h).
   // `old`: it was held so long ago that servers in it may have been replaced.
   void Remember(const ServerList& known, bool old = false);
-  // `arrived`: when it came, if that was before now: a drain's grace runs from then.
-  void Told(const ServerList& list, Time arrived = Time::max());
-  // Of a list that stopped half way: servers that it names as draining or gone get nothing new from now on.
-  // Nothing else is taken from it, and the version held stays.
-  void ToldInPart(const ServerList& part);
+  void Told(const ServerList& list, const ListOrigin& origin);
+  // Entries of an answer that is not whole, or not yet.
+  void ToldInPart(const ServerList& part, const ListOrigin& origin);
   // A call to discovery came to nothing. Counted only: discovery/list_refresher.h sees to the next one.
   void ListRefused();
+  const ServerDirectory& directory() const { return directory_; }
 
   // From operators. A suspended server is told to the module as draining, whatever discovery says, until
   // it is resumed; `Limits::put_back` later it is used again and counts as started at that moment, since
@@ -82,7 +83,7 @@
   // not listed yet be taken too.
   bool Suspend(const std::string& uid, bool any = false);
   bool Resume(const std::string& uid, bool any = false);
-  const std::set<std::string>& suspended() const { return suspended_; }
+  const std::set<std::string>& suspended() const { return directory_.suspended(); }
 
   // Cache servers in the list (in service or terminating), and those of them avoided by hand or by the
   // module's choice.
@@ -143,7 +144,6 @@
   void Do(const beechledge::Log& a);
 
   SendVerdict JudgeSending(const Request* request, ServerId server, int attempt) const;
-  bool Serving(const Server& server, Time now, Duration grace) const;
   bool RunsOnceOnly(const Request& request) const;
   void HoldBack(const beechledge::Send& a, int attempt, bool complete, SendVerdict why);
   void End(Request& request);
@@ -153,12 +153,12 @@
   void AnswerRequest(Request& request, const Answer& answer);
   void Release(RequestId id);
   void Retire();
-  Back& BackOf(ServerId id) { return *(servers_[id].origin ? origin_ : nodes_); }
-  void Take(const ServerList& list, beechledge::ListKind kind, bool old = false,
-            Time arrived = Time::max());
-  // The entry as the module is told it: discovery's, with what operators said laid over it.
-  ServerEntry Effective(const ServerEntry& told) const;
-  void Retell(const std::string& uid);
+  Back& BackOf(ServerId id) { return *(directory_.At(id).origin ? origin_ : nodes_); }
+  // Acts on what the directory says has changed, and hands it to the module.
+  void Apply(const DirectoryUpdate& update, beechledge::ListKind kind, bool old = false);
+  beechledge::ServerEntry EntryFor(ServerId id) const;
+  void LogVerdict(const DirectoryUpdate& update, const ServerList& list, const ListOrigin& origin) const;
+  void LogChange(ServerId id) const;
   void PutBack(const std::string& uid);
   void CountClass(int request_class, AnswerKind kind);
   void LogBeliefs();
@@ -176,14 +176,10 @@
 
   Slots<Request> requests_;
   Slots<Attempt> attempts_;
-  std::vector<Server> servers_;    // by ServerId
-  std::vector<ServerEntry> told_;  // by ServerId: as discovery last told it
-  std::set<std::string> suspended_;
+  ServerDirectory directory_;
+  NewsLedger ledger_;                                         // for the run-time checks alone
   std::unordered_map<std::string, Deadlines::Id> returning_;  // by uid: resumed, and not used again yet
-  std::unordered_map<std::string, Time> resumed_;             // by uid: when operators last put it back
-  std::vector<ServerId> unused_;                              // numbers of servers that were forgotten
-  std::unordered_map<std::string, ServerId> by_uid_;
-  std::unordered_set<std::string> by_id_;  // the ids of the requests in the table
+  std::unordered_set<std::string> by_id_;                     // the ids of the requests in the table
   struct Queued {
     Time at;  // when it happened
     beechledge::Event event;
@@ -191,7 +187,6 @@
   std::deque<Queued> queue_;
   bool pumping_ = false;
   bool ready_ = false, confirmed_ = false;
-  std::int64_t rev_ = -1;         // of the list last told
   std::optional<Snapshot> kept_;  // not taken up yet
   double faith_ = 0;
   std::size_t open_requests_ = 0;  // without their answer
--- a/src/discovery/list_refresher.cpp
+++ b/src/discovery/list_refresher.cpp
@@ -140,7 +140,8 @@
   if (found == nullptr) return;
   const SourceId source = found->source;
   std::erase_if(calls_, [id](const Call& c) { return c.id == id; });
-  if (why == CallEnd::kOlderList && source == current_) version_.reset();
+  const bool out_of_step = why == CallEnd::kOlderList || why == CallEnd::kNoBase;
+  if (out_of_step && source == current_) version_.reset();
   if (source == target_) AfterFailure(now, why);
   Step(now, why, out);
 }
@@ -163,11 +164,6 @@
   return call != nullptr && !call->disturbed && !call->suspect;
 }
 
-std::optional<std::int64_t> ListRefresher::VersionFor(CallId id) const {
-  const Call* call = Find(id);
-  return call == nullptr || call->whole ? std::nullopt : version_;
-}
-
 std::optional<Duration> ListRefresher::Age(Time now) const {
   return heard_ ? std::optional<Duration>(now - *heard_) : std::nullopt;
 }
@@ -323,23 +319,31 @@
       return Disturb(now, first ? Duration(0) : next_open_ - now);
     case CallEnd::kBroken:
     case CallEnd::kBadAnswer:
-    case CallEnd::kOlderList:
+    case CallEnd::kNoBase:
     case CallEnd::kStalled:
       if (TakeHaste(now)) {
         const Duration quick =
             std::chrono::duration_cast<Duration>(limits_.drain_grace / 8 * (0.5 + Any()));
         return Disturb(now, first ? std::min(limits_.apart, limits_.drain_grace / 4) : quick);
       }
-      [[fallthrough]];
-    default: {
-      // A call that still waits has its place in discovery's line; more of them would take that of others.
-      const Duration again = pacing_.Again(now, Any());
-      Disturb(now, Duration(0));
-      next_open_ = now + (AnyOut() && !limits_.agent ? std::max(again, Gap()) : again);
-    }
+      return BackOff(now);
+    case CallEnd::kOlderList:
+      // The source is at work, and behind the others or begun anew: more calls in a row change neither.
+      Disturb(now, first ? limits_.drain_grace / 4 : Duration(0));
+      if (!first) next_open_ = now + Gap();
+      return;
+    default:
+      return BackOff(now);
   }
 }
 
+// A call that still waits has its place in discovery's line; more of them would take that of others.
+void ListRefresher::BackOff(Time now) {
+  const Duration again = pacing_.Again(now, Any());
+  Disturb(now, Duration(0));
+  next_open_ = now + (AnyOut() && !limits_.agent ? std::max(again, Gap()) : again);
+}
+
 // ---- Limits ----
 
 Time ListRefresher::LimitOf(const Call& call) const {
@@ -360,7 +364,7 @@
   const std::vector<Call> before = calls_;
   for (const Call& call : before) {
     if (LimitOf(call) > now) continue;
-    if (call.first_byte) CheckAnswering(now, call.id, out);
+    if (call.first_byte) CheckAnswering(now, call.id);
     const Call* still = Find(call.id);
     if (still == nullptr || LimitOf(*still) > now) continue;
     last = !call.connected           ? CallEnd::kConnectTime
@@ -373,15 +377,14 @@
   return last;
 }
 
-// An answer that has begun tells that there may be news. Where it stops, or goes on for long, what came of
-// it is used and another call goes out beside it.
-void ListRefresher::CheckAnswering(Time now, CallId id, ListActions& out) {
+// An answer that has begun tells that there may be news. Where it stops, or goes on for long, another call
+// goes out beside it.
+void ListRefresher::CheckAnswering(Time now, CallId id) {
   Call& call = *Find(id);
   const bool stopped = !call.stall_noted && now - *call.last_byte >= StallLimit();
   const bool long_at_it = !call.suspect && now - *call.first_byte >= limits_.answer;
   if (!stopped && !long_at_it) return;
   call.stall_noted = call.stall_noted || stopped;
-  out.push_back(TakePartial{id});
   const bool first = !std::exchange(call.suspect, true);
   if (!first || call.source != target_) return;
   if (TakeHaste(now)) {
--- a/src/discovery/list_refresher.h
+++ b/src/discovery/list_refresher.h
@@ -29,12 +29,12 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "discovery/server_list.h"
 #include "recovery/list_calls.h"
 
 namespace brasswood {
 
 using CallId = std::uint64_t;
-using SourceId = int;  // one address of discovery; the caller maps them
 
 // What is known of the list, as the header's diagram has it.
 enum class ListState : std::size_t { kUnheard, kFollowing, kRefreshing, kBackingOff, kCount };
@@ -48,6 +48,7 @@
   kBroken,        // its connection ended under it
   kBadAnswer,     // not HTTP, not JSON, or not a list
   kOlderList,     // a list older than the one held
+  kNoBase,        // changes from a version that is not held
   kNotConnected,  // its connection was refused
   kConnectTime,   // its connection did not come up in time
   kNoDescriptor,  // this process had no connection to make
@@ -64,6 +65,7 @@
     "connection lost",
     "a bad answer",
     "an older list",
+    "changes without their base",
     "connection lost before it was up",
     "no connection in time",
     "cannot connect",
@@ -86,15 +88,11 @@
   CallId id = 0;
   CallEnd why = CallEnd::kMadeWay;
 };
-// The answer so far has stopped: its whole entries may be used as far as that is safe without the rest.
-struct TakePartial {
-  CallId id = 0;
-};
 struct StateChanged {
   ListState from = ListState::kUnheard, to = ListState::kUnheard;
   CallEnd why = CallEnd::kAnswered;
 };
-using ListAction = std::variant<OpenCall, CloseCall, TakePartial, StateChanged>;
+using ListAction = std::variant<OpenCall, CloseCall, StateChanged>;
 using ListActions = std::vector<ListAction>;
 
 // What bounds the calls. All but `watch` follow from the deployment's settings and Limits.
@@ -130,7 +128,8 @@
   void Connected(Time now, CallId id);
   // Bytes of the call's answer came, and it is not whole yet.
   void Progress(Time now, CallId id);
-  // The call's answer came whole, and its list was taken. False: the call had ended before.
+  // The call's answer came whole, and its list was taken; `version`: up to which everything is known now.
+  // False: the call had ended before.
   bool Answered(Time now, CallId id, std::int64_t version, ListActions& out);
   // The call has ended without a list; its connection is gone.
   void Failed(Time now, CallId id, CallEnd why, ListActions& out);
@@ -144,8 +143,6 @@
   // May the call's answer have been written only when it came? Only then has a drain that it tells of its
   // grace still before it.
   bool Undisturbed(CallId id) const;
-  // The version that answers to this call are to be no older than.
-  std::optional<std::int64_t> VersionFor(CallId id) const;
   ListState state() const { return state_; }
   bool moving() const { return target_ != current_; }
   SourceId current() const { return current_; }
@@ -182,8 +179,9 @@
   void MakeRoom(ListActions& out);
   void Disturb(Time now, Duration wait);
   void AfterFailure(Time now, CallEnd why);
+  void BackOff(Time now);
   CallEnd CheckLimits(Time now, ListActions& out);
-  void CheckAnswering(Time now, CallId id, ListActions& out);
+  void CheckAnswering(Time now, CallId id);
   void Step(Time now, CallEnd why, ListActions& out);
   Duration Gap();
   Duration ConnectLimit() const;
--- /dev/null
+++ b/src/discovery/server_directory.cpp
@@ -0,0 +1,299 @@
+#include "discovery/server_directory.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace brasswood {
+
+using beechledge::Availability;
+
+// ---- Lists ----
+
+DirectoryUpdate ServerDirectory::Remember(const ServerList& list, Time now) {
+  DirectoryUpdate update;
+  ListOrigin origin;
+  origin.told = now;
+  TakeAll(list, {list.rev, false}, origin, update);
+  if (list.rev >= 0) held_ = list.rev;
+  return update;
+}
+
+ListVerdict ServerDirectory::Judge(const ServerList& list, const ListOrigin& origin) const {
+  if (origin.begun < restarted_) return ListVerdict::kOlder;
+  if (held_ && list.rev < *held_) {
+    if (origin.begun <= held_confirmed_) return ListVerdict::kOlder;
+    return RestartProven(list, origin) ? ListVerdict::kRestartTaken : ListVerdict::kDoubted;
+  }
+  const bool has_base = list.all || (origin.since && held_ && *origin.since <= *held_);
+  return has_base ? ListVerdict::kTaken : ListVerdict::kNoBase;
+}
+
+DirectoryUpdate ServerDirectory::Merge(const ServerList& list, const ListOrigin& origin) {
+  DirectoryUpdate update;
+  update.verdict = Judge(list, origin);
+  switch (update.verdict) {
+    case ListVerdict::kOlder:
+      return update;
+    case ListVerdict::kDoubted:
+      TakeDoubted(list, origin, update);
+      return update;
+    case ListVerdict::kNoBase:
+      TakeDrains(list, {list.rev, true}, origin, update);
+      return update;
+    case ListVerdict::kRestartTaken:
+      restarted_ = origin.arrived;
+      for (Record& record : records_) {
+        record.stamp = {};
+        record.start_floor = std::max(record.start_floor, record.told.started);
+      }
+      break;
+    default:
+      break;
+  }
+  held_ = list.rev;
+  held_confirmed_ = std::max(held_confirmed_, origin.arrived);
+  TakeAll(list, {list.rev, true}, origin, update);
+  EndDoubt(origin.told, update);
+  return update;
+}
+
+DirectoryUpdate ServerDirectory::MergePart(const ServerList& part, const ListOrigin& origin) {
+  DirectoryUpdate update;
+  // Guards against a late copy of an earlier answer: its drains may be over.
+  if (origin.begun < restarted_ || (held_ && part.rev <= *held_)) {
+    update.verdict = ListVerdict::kNotNewer;
+    return update;
+  }
+  update.verdict = ListVerdict::kPartTaken;
+  TakeDrains(part, {part.rev, true}, origin, update);
+  return update;
+}
+
+// A whole list, or changes whose base is held.
+void ServerDirectory::TakeAll(const ServerList& list, const Stamp& stamp, const ListOrigin& origin,
+                              DirectoryUpdate& update) {
+  std::vector<bool> named(records_.size());
+  for (const ServerEntry& entry : list.entries) {
+    const ServerId id = Place(entry);
+    if (id >= named.size()) named.resize(id + 1);
+    named[id] = true;
+    if (Replaces(records_[id], entry, stamp)) Take(id, entry, stamp, origin.source);
+    Refresh(id, origin.told, update);
+    update.named.push_back(id);
+  }
+  if (!list.all) return;
+  for (ServerId id = 0; id < records_.size(); ++id) {
+    Record& record = records_[id];
+    if (named[id] || record.server.uid.empty() || record.stamp.version > stamp.version) continue;
+    record.told.availability = Availability::kRemoved;
+    record.stamp = stamp;
+    Refresh(id, origin.told, update);
+  }
+}
+
+// Leaving a server out breaks no rule, whatever the rest of the answer says.
+void ServerDirectory::TakeDrains(const ServerList& list, const Stamp& stamp, const ListOrigin& origin,
+                                 DirectoryUpdate& update) {
+  for (const ServerEntry& entry : list.entries) {
+    const auto known = by_uid_.find(entry.uid);
+    if (known == by_uid_.end() || entry.availability == Availability::kUp) continue;
+    if (!Replaces(records_[known->second], entry, stamp)) continue;
+    Take(known->second, entry, stamp, origin.source);
+    Refresh(known->second, origin.told, update);
+    update.named.push_back(known->second);
+  }
+}
+
+// Does the entry's word, told with this stamp, go before the one held? One version says one thing; where
+// two lists of one version differ, the word that is safer and later in life holds, whichever came first.
+bool ServerDirectory::Replaces(const Record& record, const ServerEntry& entry, const Stamp& stamp) const {
+  const auto order = [](const Stamp& s) { return std::tuple(s.version, s.discovery); };
+  if (record.server.uid.empty() || order(stamp) != order(record.stamp)) {
+    return record.server.uid.empty() || order(stamp) > order(record.stamp);
+  }
+  const auto rank = [](const ServerEntry& e) {
+    return std::tuple(e.availability, e.started, e.endpoint, e.scale, e.zone, e.kind, e.cell);
+  };
+  return rank(entry) >= rank(record.told);
+}
+
+ServerId ServerDirectory::Place(const ServerEntry& entry) {
+  const bool reuse = !unused_.empty();
+  const auto [it, fresh] =
+      by_uid_.emplace(entry.uid, reuse ? unused_.back() : static_cast<ServerId>(records_.size()));
+  if (fresh && reuse) {
+    unused_.pop_back();
+  } else if (fresh) {
+    records_.emplace_back();
+  }
+  return it->second;
+}
+
+void ServerDirectory::Take(ServerId id, const ServerEntry& entry, const Stamp& stamp, SourceId source) {
+  Record& record = records_[id];
+  record.told = entry;
+  record.stamp = stamp;
+  record.source = source;
+}
+
+// ---- What a server's state follows from ----
+
+ServerEntry ServerDirectory::Effective(ServerId id) const {
+  const Record& record = records_[id];
+  ServerEntry entry = record.told;
+  const bool left_out = record.doubted || suspended_.contains(entry.uid) || returning_.contains(entry.uid);
+  if (left_out && entry.availability == Availability::kUp) entry.availability = Availability::kDraining;
+  entry.started = std::max(entry.started, record.start_floor);
+  // Guards against a restart that discovery does not tell, or tells late: what the server held is gone,
+  // and the module is to treat it as cold from the resume.
+  if (const auto it = put_back_.find(entry.uid); it != put_back_.end())
+    entry.started = std::max(entry.started, it->second);
+  return entry;
+}
+
+// `told`: from when the news that led here counts as told.
+void ServerDirectory::Refresh(ServerId id, Time told, DirectoryUpdate& update) {
+  Record& record = records_[id];
+  Server& server = record.server;
+  const ServerEntry entry = Effective(id);
+  const bool fresh = server.uid.empty();
+  const bool was_in = !fresh && server.availability == Availability::kUp;
+  const bool is_in = entry.availability == Availability::kUp;
+  if (!fresh && (server.endpoint != entry.endpoint || server.started != entry.started)) {
+    update.moved.push_back(id);
+  }
+  if (fresh || server.availability != entry.availability) update.changed.push_back(id);
+  if (fresh || server.started != entry.started) ++server.life;
+  if (!is_in) server.out_since = was_in || fresh ? told : std::min(server.out_since, told);
+  if (entry.availability == Availability::kRemoved &&
+      (fresh || server.availability != Availability::kRemoved)) {
+    record.removed_at = told;
+  }
+  server.uid = entry.uid;
+  server.endpoint = entry.endpoint;
+  server.started = entry.started;
+  // Decided once: an attempt must end at the back end that it began at.
+  if (fresh) server.origin = origin_kind_ >= 0 && entry.kind == origin_kind_;
+  server.availability = entry.availability;
+}
+
+bool ServerDirectory::Serving(ServerId id, Time now, Duration grace) const {
+  const Server& server = records_[id].server;
+  return server.availability == Availability::kUp || now - server.out_since < grace;
+}
+
+std::optional<ServerId> ServerDirectory::Find(const std::string& uid) const {
+  const auto it = by_uid_.find(uid);
+  return it == by_uid_.end() ? std::nullopt : std::optional<ServerId>(it->second);
+}
+
+// ---- Doubt ----
+
+std::size_t ServerDirectory::InService() const {
+  return static_cast<std::size_t>(std::count_if(records_.begin(), records_.end(), [](const Record& r) {
+    return r.server.availability == Availability::kUp && !r.server.origin;
+  }));
+}
+
+bool ServerDirectory::RestartProven(const ServerList& list, const ListOrigin& origin) const {
+  return list.all && doubt_.lists + 1 >= kRestartLists &&
+         origin.begun - doubt_.first_begun >= kRestartEvidence;
+}
+
+// Guards against a drain that a restarted discovery tells with a version below the one held.
+void ServerDirectory::TakeDoubted(const ServerList& list, const ListOrigin& origin,
+                                  DirectoryUpdate& update) {
+  if (!list.all) return;  // changes from nothing that is known
+  if (doubt_.lists++ == 0) doubt_.first_begun = origin.begun;
+  const bool newest = list.rev >= doubt_.version;
+  doubt_.version = std::max(doubt_.version, list.rev);
+  std::set<std::string> in_service, named;
+  for (const ServerEntry& entry : list.entries) {
+    named.insert(entry.uid);
+    if (entry.availability == Availability::kUp) in_service.insert(entry.uid);
+    if (const auto known = Find(entry.uid)) {
+      records_[*known].start_floor = std::max(records_[*known].start_floor, entry.started);
+    }
+  }
+  std::size_t left = InService();
+  for (ServerId id = 0; id < records_.size(); ++id) {
+    Record& record = records_[id];
+    const std::string& uid = record.server.uid;
+    if (uid.empty() || record.server.origin) continue;
+    // A list that lags does not name new servers; one that has named a server, and does so no more, tells
+    // of its end.
+    const bool tells = named.contains(uid) || doubt_.named.contains(uid);
+    const bool serves = record.server.availability == Availability::kUp;
+    if (tells && !in_service.contains(uid) && (!serves || left > 1)) {
+      record.doubted = true;
+      left -= serves;
+    }
+    if (newest && in_service.contains(uid)) record.doubted = false;
+    Refresh(id, origin.told, update);
+    update.named.push_back(id);
+  }
+  doubt_.named.merge(named);
+}
+
+void ServerDirectory::EndDoubt(Time now, DirectoryUpdate& update) {
+  if (!in_doubt()) return;
+  doubt_ = {};
+  for (ServerId id = 0; id < records_.size(); ++id) {
+    if (!records_[id].doubted) continue;
+    records_[id].doubted = false;
+    Refresh(id, now, update);
+    update.named.push_back(id);
+  }
+}
+
+// ---- Operators ----
+
+bool ServerDirectory::Suspend(const std::string& uid) {
+  if (!suspended_.insert(uid).second) return false;
+  returning_.erase(uid);
+  return true;
+}
+
+bool ServerDirectory::Resume(const std::string& uid) {
+  if (suspended_.erase(uid) == 0) return false;
+  returning_.insert(uid);
+  return true;
+}
+
+void ServerDirectory::PutBack(const std::string& uid, Time now) {
+  returning_.erase(uid);
+  put_back_[uid] = now;
+}
+
+DirectoryUpdate ServerDirectory::Reconsider(const std::string& uid, Time now) {
+  DirectoryUpdate update;
+  const auto id = Find(uid);
+  if (!id) return update;
+  Refresh(*id, now, update);
+  update.named.push_back(*id);
+  return update;
+}
+
+// ---- Servers that are gone ----
+
+bool ServerDirectory::RemovedBefore(ServerId id, Time before) const {
+  const Record& record = records_[id];
+  return !record.server.uid.empty() && record.server.availability == Availability::kRemoved &&
+         record.removed_at <= before;
+}
+
+bool ServerDirectory::AnyRemovedBefore(Time before) const {
+  for (ServerId id = 0; id < records_.size(); ++id) {
+    if (RemovedBefore(id, before)) return true;
+  }
+  return false;
+}
+
+void ServerDirectory::Forget(ServerId id) {
+  by_uid_.erase(records_[id].server.uid);
+  put_back_.erase(records_[id].server.uid);
+  records_[id] = {};
+  unused_.push_back(id);
+}
+
+}  // namespace brasswood
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -41,6 +41,17 @@
 
 }  // namespace
 
+DiscoveryWatch::Call::Call(DiscoveryWatch& owner, const OpenCall& action, Time now)
+    : watch(&owner),
+      id(action.id),
+      answer(owner.limits_.list, owner.limits_),
+      list(owner.names_, owner.limits_) {
+  origin.source = action.source;
+  origin.call = action.id;
+  origin.since = action.since;
+  origin.begun = now;
+}
+
 DiscoveryWatch::DiscoveryWatch(Loop& loop, Engine& engine, const Limits& limits,
                                const SettingsRead& settings, std::string address, std::int64_t known,
                                double phase)
@@ -102,10 +113,7 @@
 }
 
 void DiscoveryWatch::Do(const OpenCall& action) {
-  auto call = std::make_unique<Call>();
-  call->watch = this;
-  call->id = action.id;
-  call->source = action.source;
+  auto call = std::make_unique<Call>(*this, action, loop_.Now());
   if (action.reuse != 0 && action.reuse == kept_of_ && kept_) {
     call->buffer = std::move(kept_);
     call->connected = true;
@@ -130,7 +138,7 @@
   ++counters_.ended[static_cast<std::size_t>(action.why)];
   const auto call = calls_.find(action.id);
   if (call == calls_.end()) return;
-  const SourceId source = call->second->source;
+  const SourceId source = call->second->origin.source;
   calls_.erase(call);
   if (action.why == CallEnd::kMadeWay || action.why == CallEnd::kMoved) {
     LogLine(Level::kDebug) << "discovery: call " << action.id << ' ' << NameOf(action.why);
@@ -139,19 +147,6 @@
   }
 }
 
-void DiscoveryWatch::Do(const TakePartial& action) {
-  const auto call = calls_.find(action.id);
-  if (call == calls_.end()) return;
-  const auto answer = ReadHttpPrefix(Gathered(call->second->buffer.get()), limits_.list, limits_);
-  if (!answer || answer->status != 200) return;
-  const auto part = ReadListPrefix(answer->body, names_, limits_);
-  const auto held = refresher_.VersionFor(action.id);
-  // Guards against a late copy of an earlier answer: its drains may be over.
-  if (!part || (held && part->rev < *held)) return;
-  ++counters_.partial;
-  engine_.ToldInPart(*part);
-}
-
 void DiscoveryWatch::Do(const StateChanged& action) {
   const auto age = ListAge();
   LogLine line(Level::kInfo);
@@ -176,7 +171,7 @@
 
 // False where this process has no connection to make now (no descriptor, no route).
 bool DiscoveryWatch::Connect(Call& call) {
-  const auto to = ParseAddress(addresses_.at(call.source));
+  const auto to = ParseAddress(addresses_.at(call.origin.source));
   call.buffer.reset(
       bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
   if (!to || !call.buffer) return false;
@@ -208,9 +203,11 @@
 }
 
 void DiscoveryWatch::OnRead(CallId id) {
-  if (TakeAnswer(id, InputEnd::kOpen) != Parsed::kMore) return;
+  Call& call = *calls_.at(id);
   // A callback that was put off for the call before, on the same connection, finds nothing.
-  if (evbuffer_get_length(bufferevent_get_input(calls_.at(id)->buffer.get())) == 0) return;
+  if (evbuffer_get_length(bufferevent_get_input(call.buffer.get())) == 0) return;
+  call.first_byte = std::min(call.first_byte, loop_.Arrived());
+  if (TakeAnswer(call, InputEnd::kOpen) != Parsed::kMore) return;
   refresher_.Progress(loop_.Now(), id);
   Arm();
 }
@@ -222,62 +219,85 @@
     return Arm();
   }
   // An orderly close ends an answer that states no length.
-  if ((what & BEV_EVENT_EOF) && TakeAnswer(id, InputEnd::kClosed) != Parsed::kMore) return;
-  Do(TakePartial{id});
+  if ((what & BEV_EVENT_EOF) && TakeAnswer(*calls_.at(id), InputEnd::kClosed) != Parsed::kMore) return;
   const bool connected = calls_.at(id)->connected;
   Fail(id, connected ? CallEnd::kBroken : CallEnd::kNotConnected);
 }
 
 // ---- Answers ----
 
-// kMore: it is not whole yet, and nothing has changed. Otherwise the call has ended, in one way or another.
-Parsed DiscoveryWatch::TakeAnswer(CallId id, InputEnd input) {
-  bufferevent* const buffer = calls_.at(id)->buffer.get();
-  std::size_t used = 0;
-  HttpAnswer answer;
-  const Parsed got = ParseHttpAnswer(Gathered(buffer), limits_.list, limits_, input, used, answer);
-  if (got == Parsed::kMore) return got;
-  if (got == Parsed::kBad) {
-    Fail(id, CallEnd::kBadAnswer);
-    return got;
+// kMore: it is not whole yet. Otherwise the call has ended, in one way or another.
+Parsed DiscoveryWatch::TakeAnswer(Call& call, InputEnd input) {
+  evbuffer* const in = bufferevent_get_input(call.buffer.get());
+  Parsed got = call.answer.Feed(Gathered(call.buffer.get()));
+  evbuffer_drain(in, evbuffer_get_length(in));
+  if (got == Parsed::kMore && input == InputEnd::kClosed) got = call.answer.End();
+  if (got == Parsed::kMore) {
+    TakeEntries(call);
+  } else if (got == Parsed::kBad) {
+    Fail(call.id, CallEnd::kBadAnswer);
+  } else {
+    // Guards against what comes beyond an answer, which would pass for the start of the next one.
+    const bool keep = call.answer.answer().keep && input != InputEnd::kClosed && call.answer.surplus() == 0;
+    TakeList(call, keep);
   }
-  evbuffer* in = bufferevent_get_input(buffer);
-  evbuffer_drain(in, used);
-  // Guards against what comes beyond an answer, which would pass for the start of the next one.
-  const bool keep = answer.keep && input != InputEnd::kClosed && evbuffer_get_length(in) == 0;
-  TakeList(id, std::move(answer), keep);
   return got;
 }
 
-void DiscoveryWatch::TakeList(CallId id, HttpAnswer answer, bool keep) {
+// From where, and of when, what has just come of this call is. All of an answer may have been written when
+// its first byte was; where it may have been written long before, a drain has no grace left.
+ListOrigin DiscoveryWatch::OriginNow(const Call& call) const {
+  ListOrigin origin = call.origin;
+  origin.arrived = loop_.Arrived();
+  origin.told = refresher_.Undisturbed(call.id) ? std::min(origin.arrived, call.first_byte)
+                                                : loop_.Now() - drain_grace_ / 2;
+  return origin;
+}
+
+// Guards against a drain whose entry is here while the rest of its answer takes its time.
+void DiscoveryWatch::TakeEntries(Call& call) {
+  if (call.answer.answer().status != 200) return;
+  call.list.Feed(call.answer.answer().body);
+  const auto part = call.list.TakeNew();
+  if (!part) return;
+  counters_.partial += !std::exchange(call.used_in_part, true);
+  engine_.ToldInPart(*part, OriginNow(call));
+}
+
+void DiscoveryWatch::TakeList(Call& call, bool keep) {
+  const CallId id = call.id;
+  const HttpAnswer answer = call.answer.TakeAnswer();
   if (answer.status != 200) return Fail(id, CallEnd::kRefused, "status " + std::to_string(answer.status));
   std::string why;
   const auto list = ReadServerList(answer.body, names_, limits_, why);
   if (!list) return Fail(id, CallEnd::kBadAnswer, "server list refused: " + why);
-  // What is older than the list held, where only newer was asked for, does not fit it: a late copy of an
-  // earlier answer, or a discovery that has started anew on old state. The whole list is asked for.
-  const auto held = refresher_.VersionFor(id);
-  if (held && list->rev < *held) {
-    return Fail(id, CallEnd::kOlderList,
-                (list->all ? "a list of version " : "changes of version ") + std::to_string(list->rev) +
-                    ", older than what is held");
+  const ListOrigin origin = OriginNow(call);
+  const ListVerdict verdict = engine_.directory().Judge(*list, origin);
+  if (verdict != ListVerdict::kTaken && verdict != ListVerdict::kRestartTaken) {
+    const std::string what =
+        (list->all ? "a list of version " : "changes of version ") + std::to_string(list->rev);
+    if (verdict == ListVerdict::kNoBase) {
+      Fail(id, CallEnd::kNoBase, what + ", asked for from a version that is not held");
+    } else {
+      Fail(id, CallEnd::kOlderList, what + ", older than what is held");
+    }
+    engine_.Told(*list, origin);
+    return;
   }
-  // Where its news may have been written long before it came, a drain has no grace left.
-  const Time arrived = refresher_.Undisturbed(id) ? loop_.Arrived() : loop_.Now() - drain_grace_ / 2;
   ++counters_.ended[static_cast<std::size_t>(CallEnd::kAnswered)];
   counters_.in_vain = 0;
-  if (keep) kept_ = std::move(calls_.at(id)->buffer);
+  if (keep) kept_ = std::move(call.buffer);
   kept_of_ = id;
   calls_.erase(id);
   ListActions actions;
   refresher_.Answered(loop_.Now(), id, list->rev, actions);
   // The next call goes out before the module sees the news: a watch is kept up only by calling at once.
   Carry(actions);
-  engine_.Told(*list, arrived);
+  engine_.Told(*list, origin);
 }
 
 void DiscoveryWatch::Fail(CallId id, CallEnd why, const std::string& detail) {
-  const SourceId source = calls_.at(id)->source;
+  const SourceId source = calls_.at(id)->origin.source;
   ++counters_.ended[static_cast<std::size_t>(why)];
   calls_.erase(id);
   LogFailure(id, source, detail.empty() ? NameOf(why) : detail);
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -16,6 +16,7 @@
 #include "core/engine.h"
 #include "discovery/list_refresher.h"
 #include "net/loop.h"
+#include "protocol/discovery.h"
 #include "protocol/http.h"
 
 namespace brasswood {
@@ -24,7 +25,7 @@
 struct DiscoveryCounters {
   std::uint64_t calls = 0;        // sent
   std::uint64_t connections = 0;  // opened
-  std::uint64_t partial = 0;      // answers that stopped half way and were used as far as they came
+  std::uint64_t partial = 0;      // answers whose entries were used before they were whole
   std::uint64_t in_vain = 0;      // calls that failed since the last answer that was taken
   std::uint64_t most_in_vain = 0;
   std::array<std::uint64_t, static_cast<std::size_t>(CallEnd::kCount)> ended{};
@@ -55,25 +56,31 @@
 
  private:
   struct Call {
+    Call(DiscoveryWatch& owner, const OpenCall& action, Time now);
     DiscoveryWatch* watch = nullptr;
     CallId id = 0;
-    SourceId source = 0;
+    ListOrigin origin;  // of what it brings; its times are filled in as it comes
     bool connected = false;
+    bool used_in_part = false;
+    Time first_byte = Time::max();  // of its answer
     BufferPtr buffer;
+    HttpAnswerReader answer;
+    ListReader list;
   };
 
   void Carry(const ListActions& actions);
   void Do(const OpenCall& action);
   void Do(const CloseCall& action);
-  void Do(const TakePartial& action);
   void Do(const StateChanged& action);
   void Arm();
   bool Connect(Call& call);
   void Listen(Call& call);
   void OnRead(CallId id);
   void OnEvent(CallId id, short what);
-  Parsed TakeAnswer(CallId id, InputEnd input);
-  void TakeList(CallId id, HttpAnswer answer, bool keep);
+  Parsed TakeAnswer(Call& call, InputEnd input);
+  void TakeEntries(Call& call);
+  void TakeList(Call& call, bool keep);
+  ListOrigin OriginNow(const Call& call) const;
   void Fail(CallId id, CallEnd why, const std::string& detail = {});
   void LogFailure(CallId id, SourceId source, const std::string& reason);
 
--- a/src/protocol/discovery.cpp
+++ b/src/protocol/discovery.cpp
@@ -59,81 +59,76 @@
   return {};
 }
 
-// Walks over JSON text that may stop anywhere, and knows how deep each place lies and what is inside
-// strings.
-class JsonWalk {
- public:
-  explicit JsonWalk(std::string_view text) : text_(text) {}
-
-  // Takes one more character; false at the end of the text.
-  bool Next() {
-    if (at_ >= text_.size()) return false;
-    const char c = text_[at_++];
-    if (in_string_) {
-      if (escaped_) {
-        escaped_ = false;
-      } else if (c == '\\') {
-        escaped_ = true;
-      } else if (c == '"') {
-        in_string_ = false;
-      }
-    } else if (c == '"') {
-      in_string_ = true;
-      string_from_ = at_;
-    } else if (c == '{' || c == '[') {
-      ++depth_;
-    } else if (c == '}' || c == ']') {
-      --depth_;
+}  // namespace
+
+// ---- A list as it comes ----
+
+bool JsonWalk::Next(std::string_view text) {
+  if (at_ >= text.size()) return false;
+  last_ = text[at_++];
+  if (in_string_) {
+    if (escaped_) {
+      escaped_ = false;
+    } else if (last_ == '\\') {
+      escaped_ = true;
+    } else if (last_ == '"') {
+      in_string_ = false;
     }
-    return true;
+  } else if (last_ == '"') {
+    in_string_ = true;
+    string_from_ = at_;
+  } else if (last_ == '{' || last_ == '[') {
+    ++depth_;
+  } else if (last_ == '}' || last_ == ']') {
+    --depth_;
   }
-  std::size_t at() const { return at_; }  // behind the last character taken
-  int depth() const { return depth_; }
-  bool in_string() const { return in_string_; }
-  char last() const { return text_[at_ - 1]; }
-  // The string that the last character has ended.
-  std::string_view LastString() const { return text_.substr(string_from_, at_ - 1 - string_from_); }
-
- private:
-  std::string_view text_;
-  std::size_t at_ = 0, string_from_ = 0;
-  int depth_ = 0;
-  bool in_string_ = false, escaped_ = false;
-};
-
-// Goes on to behind the bracket that opens the list's entries; false where it does not come.
-bool WalkToEntries(JsonWalk& walk) {
-  bool named = false;  // the last name or value at the top was that of the entries
-  while (walk.Next()) {
-    if (walk.last() == '"' && !walk.in_string() && walk.depth() == 1)
-      named = walk.LastString() == "targets";
-    if (walk.last() == '[' && !walk.in_string() && walk.depth() == 2) return named;
+  return true;
+}
+
+void ListReader::Feed(std::string_view json) {
+  if (state_ == State::kBeforeEntries) WalkToEntries(json);
+  while (state_ == State::kEntries && walk_.Next(json)) {
+    if (walk_.in_string()) continue;
+    if (walk_.depth() < kEntriesDepth) state_ = State::kEnded;
+    if (walk_.last() == '{' && walk_.depth() == kEntriesDepth + 1) entry_from_ = walk_.at() - 1;
+    if (walk_.last() == '}' && walk_.depth() == kEntriesDepth) {
+      TakeEntry(json.substr(entry_from_, walk_.at() - entry_from_));
+    }
   }
-  return false;
 }
 
-}  // namespace
+// Goes on to behind the bracket that opens the list's entries.
+void ListReader::WalkToEntries(std::string_view json) {
+  while (walk_.Next(json)) {
+    if (walk_.in_string()) continue;
+    if (walk_.last() == '"' && walk_.depth() == 1) named_ = walk_.LastString(json) == "targets";
+    if (walk_.last() != '[' || walk_.depth() != kEntriesDepth) continue;
+    std::string why;
+    list_ = ReadServerList(std::string(json.substr(0, walk_.at())) + "]}", names_, limits_, why);
+    state_ = named_ && list_ ? State::kEntries : State::kEnded;
+    if (state_ == State::kEnded) list_.reset();
+    return;
+  }
+}
 
-std::optional<ServerList> ReadListPrefix(std::string_view json, const Names& names, const Limits& limits) {
-  JsonWalk walk(json);
-  if (!WalkToEntries(walk)) return std::nullopt;
-  std::string why;
-  auto list = ReadServerList(std::string(json.substr(0, walk.at())) + "]}", names, limits, why);
-  if (!list) return std::nullopt;
-  const int among_entries = walk.depth();
-  std::size_t from = walk.at();
-  while (list->entries.size() < limits.servers && walk.Next()) {
-    if (walk.in_string()) continue;
-    if (walk.depth() < among_entries) break;
-    if (walk.last() == '{' && walk.depth() == among_entries + 1) from = walk.at() - 1;
-    if (walk.last() != '}' || walk.depth() != among_entries) continue;
-    rapidjson::Document document;
-    ReadJson(json.substr(from, walk.at() - from), document);
-    ServerEntry entry;
-    if (document.HasParseError() || !ReadEntry(document, names, entry).empty()) return std::nullopt;
-    list->entries.push_back(std::move(entry));
+void ListReader::TakeEntry(std::string_view json) {
+  rapidjson::Document document;
+  ReadJson(json, document);
+  ServerEntry entry;
+  const bool sound = !document.HasParseError() && ReadEntry(document, names_, entry).empty();
+  if (!sound || ++entries_ > limits_.servers) {
+    state_ = State::kEnded;
+    list_.reset();
+    return;
   }
-  return list;
+  list_->entries.push_back(std::move(entry));
+}
+
+std::optional<ServerList> ListReader::TakeNew() {
+  if (!list_ || list_->entries.empty()) return std::nullopt;
+  ServerList taken = *list_;
+  list_->entries.clear();
+  return taken;
 }
 
 std::optional<ServerList> ReadServerList(const Value& in, const Names& names, const Limits& limits,
@@ -149,6 +144,8 @@
   ServerList list;
   if (rev == nullptr || !rev->IsInt64()) {
     why = "no whole number as rev";
+  } else if (rev->GetInt64() < 0) {
+    why = "rev is below 0";
   } else if (all == nullptr || !all->IsBool()) {
     why = "all is not true or false";
   } else if (targets == nullptr || !targets->IsArray()) {
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -16,35 +16,6 @@
 // Bytes of a chunk's size line with its extensions, or of a trailer line.
 constexpr std::size_t kChunkLine = 4096;
 
-Parsed TakeChunks(std::string_view in, std::size_t at, std::size_t most, std::size_t& used,
-                  std::string& body) {
-  for (;;) {
-    const std::size_t end = in.find("\r\n", at);
-    if (end == in.npos) return in.size() - at > kChunkLine ? Parsed::kBad : Parsed::kMore;
-    const std::string_view head = in.substr(at, end - at);
-    const auto length = WholeNumber(Trim(head.substr(0, head.find(';'))), 16);
-    if (!length || *length > most - body.size()) return Parsed::kBad;
-    at = end + 2;
-    if (*length == 0) break;
-    if (in.size() < at + *length + 2) {
-      body.append(in.substr(at, *length));
-      return Parsed::kMore;
-    }
-    if (in.substr(at + *length, 2) != "\r\n") return Parsed::kBad;
-    body.append(in.substr(at, *length));
-    at += *length + 2;
-  }
-  for (;;) {  // trailers, up to the empty line
-    const std::size_t end = in.find("\r\n", at);
-    if (end == in.npos) return in.size() - at > kChunkLine ? Parsed::kBad : Parsed::kMore;
-    const bool last = end == at;
-    at = end + 2;
-    if (last) break;
-  }
-  used = at;
-  return Parsed::kDone;
-}
-
 // A path of the key's bytes, those that a path cannot carry escaped.
 std::string KeyPath(std::string_view key) {
   static constexpr char kHex[] = "0123456789ABCDEF";
@@ -62,14 +33,6 @@
   return path;
 }
 
-// How the end of an answer's body is known.
-enum class BodyEnd { kAtHead, kLastChunk, kLength, kClose };
-
-struct HttpHead {
-  BodyEnd body = BodyEnd::kClose;
-  std::uint64_t length = 0;  // of kLength
-};
-
 // The members of a comma-separated field value.
 template <class F>
 void EachMember(std::string_view value, F each) {
@@ -106,10 +69,10 @@
 
   HttpHead Result() const {
     const bool no_body = answer_.status < 200 || answer_.status == 204 || answer_.status == 304;
-    if (no_body) return {BodyEnd::kAtHead, 0};
-    if (chunked_) return {BodyEnd::kLastChunk, 0};
-    if (length_) return {BodyEnd::kLength, *length_};
-    return {BodyEnd::kClose, 0};
+    if (no_body) return {HttpBodyEnd::kAtHead, 0};
+    if (chunked_) return {HttpBodyEnd::kLastChunk, 0};
+    if (length_) return {HttpBodyEnd::kLength, *length_};
+    return {HttpBodyEnd::kClose, 0};
   }
 
  private:
@@ -177,45 +140,135 @@
 
 }  // namespace
 
-Parsed ParseHttpAnswer(std::string_view in, std::size_t most_body, const Limits& limits, InputEnd end,
-                       std::size_t& used, HttpAnswer& answer) {
-  HttpHead head;
-  std::size_t at = 0;
-  const Parsed got = ParseFinalHead(in, limits, at, answer, head);
-  if (got != Parsed::kDone) return got;
-  if (head.body == BodyEnd::kLastChunk) return TakeChunks(in, at, most_body, used, answer.body);
-  const std::size_t have = in.size() - at;
-  std::size_t length = 0;
-  if (head.body == BodyEnd::kLength) {
-    if (head.length > most_body) return Parsed::kBad;
-    length = static_cast<std::size_t>(head.length);
-    if (have < length) return Parsed::kMore;
+// ---- An answer as it comes ----
+
+Parsed HttpAnswerReader::Feed(std::string_view bytes) {
+  while (state_ != State::kDone && state_ != State::kBad &&
+         (!bytes.empty() || state_ == State::kBodyBegins)) {
+    switch (state_) {
+      case State::kHead:
+        TakeHead(bytes);
+        break;
+      case State::kBodyBegins:
+        BeginBody();
+        break;
+      case State::kLength:
+      case State::kChunk:
+        TakeCounted(bytes);
+        break;
+      case State::kClose:
+        TakeToClose(bytes);
+        break;
+      default:
+        TakeChunkLine(bytes);
+        break;
+    }
+  }
+  surplus_ += bytes.size();
+  return result();
+}
+
+Parsed HttpAnswerReader::End() {
+  if (state_ == State::kClose) state_ = State::kDone;
+  return result();
+}
+
+Parsed HttpAnswerReader::result() const {
+  return state_ == State::kDone ? Parsed::kDone : state_ == State::kBad ? Parsed::kBad : Parsed::kMore;
+}
+
+void HttpAnswerReader::TakeHead(std::string_view& bytes) {
+  const std::size_t before = line_.size();
+  line_.append(bytes);
+  std::size_t used = 0;
+  const Parsed got = ParseFinalHead(line_, limits_, used, answer_, head_);
+  if (got == Parsed::kBad) state_ = State::kBad;
+  bytes.remove_prefix(got == Parsed::kDone ? used - before : bytes.size());
+  if (got != Parsed::kDone) return;
+  line_.clear();
+  state_ = State::kBodyBegins;
+}
+
+void HttpAnswerReader::BeginBody() {
+  switch (head_.body) {
+    case HttpBodyEnd::kAtHead:
+      state_ = State::kDone;
+      return;
+    case HttpBodyEnd::kLastChunk:
+      state_ = State::kChunkSize;
+      return;
+    case HttpBodyEnd::kLength:
+      left_ = head_.length;
+      state_ = left_ > most_body_ ? State::kBad : left_ == 0 ? State::kDone : State::kLength;
+      return;
+    case HttpBodyEnd::kClose:
+      answer_.keep = false;
+      state_ = State::kClose;
   }
-  if (head.body == BodyEnd::kClose) {
-    answer.keep = false;
-    if (have > most_body) return Parsed::kBad;
-    if (end != InputEnd::kClosed) return Parsed::kMore;
-    length = have;
+}
+
+void HttpAnswerReader::TakeCounted(std::string_view& bytes) {
+  const std::size_t part = static_cast<std::size_t>(std::min<std::uint64_t>(left_, bytes.size()));
+  answer_.body.append(bytes.substr(0, part));
+  bytes.remove_prefix(part);
+  left_ -= part;
+  if (left_ == 0) state_ = state_ == State::kChunk ? State::kChunkEnd : State::kDone;
+}
+
+void HttpAnswerReader::TakeToClose(std::string_view& bytes) {
+  if (bytes.size() > most_body_ - answer_.body.size()) {
+    state_ = State::kBad;
+    return;
   }
-  answer.body.assign(in.substr(at, length));
-  used = at + length;
-  return Parsed::kDone;
+  answer_.body.append(bytes);
+  bytes = {};
 }
 
-std::optional<HttpAnswer> ReadHttpPrefix(std::string_view in, std::size_t most_body, const Limits& limits) {
-  HttpAnswer answer;
-  HttpHead head;
-  std::size_t at = 0;
-  if (ParseFinalHead(in, limits, at, answer, head) != Parsed::kDone) return std::nullopt;
-  if (head.body == BodyEnd::kLastChunk) {
-    std::size_t used = 0;
-    if (TakeChunks(in, at, most_body, used, answer.body) == Parsed::kBad) return std::nullopt;
-  } else if (head.body != BodyEnd::kAtHead) {
-    const std::uint64_t length = head.body == BodyEnd::kLength ? head.length : most_body;
-    if (length > most_body) return std::nullopt;
-    answer.body.assign(in.substr(at, static_cast<std::size_t>(length)));
+// A chunk's size, the end of its data, or a trailer.
+void HttpAnswerReader::TakeChunkLine(std::string_view& bytes) {
+  const std::size_t before = line_.size();
+  line_.append(bytes.substr(0, kChunkLine + 2));
+  const std::string_view line_end = "\r\n";
+  if (state_ == State::kChunkEnd && !line_end.starts_with(std::string_view(line_).substr(0, 2))) {
+    state_ = State::kBad;
+    return;
+  }
+  const std::size_t end = line_.find(line_end);
+  if (end == line_.npos) {
+    if (line_.size() > kChunkLine) state_ = State::kBad;
+    bytes.remove_prefix(line_.size() - before);
+    return;
   }
-  return answer;
+  bytes.remove_prefix(end + 2 - before);
+  const std::string line = line_.substr(0, end);
+  line_.clear();
+  if (state_ == State::kTrailer) {
+    if (line.empty()) state_ = State::kDone;
+  } else if (state_ == State::kChunkEnd) {
+    state_ = State::kChunkSize;
+  } else {
+    BeginChunk(line);
+  }
+}
+
+void HttpAnswerReader::BeginChunk(std::string_view size_line) {
+  const auto length = WholeNumber(Trim(size_line.substr(0, size_line.find(';'))), 16);
+  if (!length || *length > most_body_ - answer_.body.size()) {
+    state_ = State::kBad;
+    return;
+  }
+  left_ = *length;
+  state_ = left_ == 0 ? State::kTrailer : State::kChunk;
+}
+
+Parsed ParseHttpAnswer(std::string_view in, std::size_t most_body, const Limits& limits, InputEnd end,
+                       std::size_t& used, HttpAnswer& answer) {
+  HttpAnswerReader reader(most_body, limits);
+  Parsed got = reader.Feed(in);
+  if (got == Parsed::kMore && end == InputEnd::kClosed) got = reader.End();
+  used = in.size() - reader.surplus();
+  answer = reader.TakeAnswer();
+  return got;
 }
 
 Parsed ParseHttpHead(std::string_view in, const Limits& limits, std::size_t& used, HttpAnswer& answer,
@@ -223,7 +276,7 @@
   HttpHead head;
   length.reset();
   const Parsed got = ParseFinalHead(in, limits, used, answer, head);
-  if (got == Parsed::kDone && head.body == BodyEnd::kLength) length = head.length;
+  if (got == Parsed::kDone && head.body == HttpBodyEnd::kLength) length = head.length;
   return got;
 }
 
--- a/src/state/snapshot.h
+++ b/src/state/snapshot.h
@@ -15,7 +15,7 @@
 
 #include "base/clock.h"
 #include "beechledge/kept.h"
-#include "core/server_list.h"
+#include "discovery/server_list.h"
 
 namespace brasswood {
 
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -127,6 +127,7 @@
     ends.engine = &*engine;
     engine->Attach(ends, ends, ends);
     ServerList list;
+    list.rev = 1;
     for (const char* uid : {"s1", "s2"}) {
       ServerEntry e;
       e.uid = uid;
@@ -135,6 +136,17 @@
     }
     engine->Remember(list);
   }
+  // Discovery's word, of a newer version each time unless the list states one.
+  ListOrigin Origin() const {
+    ListOrigin origin;
+    origin.since = engine->directory().held();
+    origin.begun = origin.arrived = origin.told = now;
+    return origin;
+  }
+  void Tell(ServerList list) {
+    if (list.rev < 0) list.rev = engine->directory().held().value_or(0) + 1;
+    engine->Told(list, Origin());
+  }
   bool Leaves(AttemptId attempt, const std::string& endpoint) const {
     return engine->JudgeFirstByte(attempt, endpoint) == SendVerdict::kAllowed;
   }
@@ -265,7 +277,7 @@
     w.To(w.now + 100ms);
     ServerList list;
     list.entries.push_back({"new" + std::to_string(n), "127.0.0.1:1", 0, 0, 0, Availability::kUp, 1, 0s});
-    w.engine->Told(list);
+    w.Tell(list);
     if (n == 7) CHECK(w.engine->FindServer(asked)->uid == (asked == 0 ? "s1" : "s2"));
   }
   CHECK(w.ends.forgotten.size() >= 95);
@@ -282,7 +294,7 @@
   news.all = false;
   news.entries.push_back(
       {asked == 0 ? "s1" : "s2", "127.0.0.1:1", 0, 0, 0, Availability::kDraining, 1, 0s});
-  w.engine->Told(news);
+  w.Tell(news);
   CHECK(w.Leaves(there, "127.0.0.1:1"));  // an attempt made just before may still leave
   w.Take(8, 0, "another key");
   REQUIRE(w.ends.attempts.size() == 2);
@@ -308,7 +320,7 @@
   part.entries.push_back({drains, "127.0.0.1:9", 0, 0, 0, Availability::kDraining, 1, 0s});
   part.entries.push_back({stays, "127.0.0.1:9", 0, 0, 0, Availability::kUp, 1, 0s});
   part.entries.push_back({"unheard of", "127.0.0.1:9", 0, 0, 0, Availability::kDraining, 1, 0s});
-  w.engine->ToldInPart(part);
+  w.engine->ToldInPart(part, w.Origin());
   CHECK_FALSE(w.Leaves(there, "127.0.0.1:1"));
   CHECK(w.engine->FindServer(asked)->availability == Availability::kDraining);
   CHECK(w.engine->FindServer(1 - asked)->endpoint == "127.0.0.1:1");
@@ -318,7 +330,7 @@
   back.rev = 10;
   back.all = false;
   back.entries.push_back({drains, "127.0.0.1:1", 0, 0, 0, Availability::kUp, 1, 0s});
-  w.engine->Told(back);
+  w.Tell(back);
   CHECK(w.engine->FindServer(asked)->availability == Availability::kUp);
 }
 
@@ -359,7 +371,7 @@
        [](World& w, AttemptId) {
          ServerList gone;
          gone.rev = 9;
-         w.engine->Told(gone);
+         w.Tell(gone);
          w.now += 1s;
        }},
   };
@@ -415,7 +427,7 @@
   ServerList again;  // discovery lists it in service all the same
   again.entries.push_back({"s1", "127.0.0.1:1", 0, 0, 0, Availability::kUp, 1, 0s});
   again.entries.push_back({"s2", "127.0.0.1:1", 0, 0, 0, Availability::kUp, 1, 0s});
-  w.engine->Told(again);
+  w.Tell(again);
   CHECK(w.engine->FindServer(0)->availability == Availability::kDraining);
   for (std::uint64_t t = 1; t <= 6; ++t) w.Take(t);  // all of them go to the other one
   for (const auto& [attempt, to] : w.ends.attempts) CHECK(to == 1);
@@ -425,12 +437,12 @@
   REQUIRE(w.engine->Resume("s1"));  // once back undoes both
   // Guards against work that overtakes the yes on its way to the caller.
   CHECK(w.engine->FindServer(0)->availability == Availability::kDraining);
-  w.engine->Told(again);
+  w.Tell(again);
   CHECK(w.engine->FindServer(0)->availability == Availability::kDraining);
   w.To(w.now + w.limits.put_back);
   CHECK(w.engine->FindServer(0)->availability == Availability::kUp);
   CHECK(w.engine->FindServer(0)->started >= resumed);  // it was restarted meanwhile: cold
-  w.engine->Told(again);  // a list that still has the old boot time leaves it cold
+  w.Tell(again);  // a list that still has the old boot time leaves it cold
   CHECK(w.engine->FindServer(0)->started >= resumed);
   CHECK(w.engine->Count().skipped == 0);
   CHECK(w.engine->suspended().empty());
@@ -454,7 +466,7 @@
   ServerList news;
   news.all = false;
   news.entries.push_back({"later", "127.0.0.1:1", 0, 0, 0, Availability::kUp, 1, 0s});
-  w.engine->Told(news);
+  w.Tell(news);
   CHECK(w.engine->FindServer(2)->availability == Availability::kDraining);
 }
 
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -284,7 +284,8 @@
   old_watch.Write(Http(List(2, false, Target("s1", draining.address(), "terminating"))));
   CHECK(HearsOfDrain(router.process, "s1"));
   call.Write(Http(List(1, true, in_service)));
-  WatchCall(call);
+  Fd next = moved_to.Accept();  // it asks again
+  WatchCall(next);
   std::this_thread::sleep_for(1100ms);  // the grace is over
   Fd client = router.Connect();
   const auto read_keys = [&](const std::string& round) {
@@ -300,8 +301,8 @@
   read_keys("a");
   CHECK_FALSE(gets_attempts());
   // What is newer counts at once, though it takes the drain back.
-  call.Write(Http(List(3, true, in_service)));
-  WatchCall(call);
+  next.Write(Http(List(3, true, in_service)));
+  WatchCall(next);
   read_keys("b");
   CHECK(gets_attempts());
 }
--- a/tests/net/parsers_test.cpp
+++ b/tests/net/parsers_test.cpp
@@ -343,38 +343,75 @@
   const std::string gone = R"({"uid":"s2","state":"terminated"})";
   const std::string head = R"({ "more" : {"targets":[]}, "rev":41 , "all":false, "targets" : [)";
   const std::string whole = head + " " + entry + ",\n" + gone + "]}";
+  ListReader grows(names, kLimits);
+  std::size_t entries = 0;
   for (std::size_t end = 0; end <= whole.size(); ++end) {
     INFO(whole.substr(0, end));
-    const auto part = ReadListPrefix(whole.substr(0, end), names, kLimits);
-    REQUIRE(part.has_value() == (end >= head.size()));
-    if (!part) continue;
-    CHECK(part->rev == 41);
     const std::size_t first = head.size() + 1 + entry.size(), second = first + 2 + gone.size();
-    CHECK(part->entries.size() == std::size_t{end >= first} + std::size_t{end >= second});
+    const std::size_t came = std::size_t{end >= first} + std::size_t{end >= second};
+    ListReader at_once(names, kLimits);
+    at_once.Feed(std::string_view(whole).substr(0, end));
+    const auto part = at_once.TakeNew();
+    REQUIRE(part.has_value() == (came > 0));
+    if (part) CHECK(part->entries.size() == came);
+    grows.Feed(std::string_view(whole).substr(0, end));
+    if (const auto fresh = grows.TakeNew()) {
+      CHECK(fresh->rev == 41);
+      CHECK_FALSE(fresh->all);
+      CHECK(fresh->entries.size() == 1);
+      CHECK(fresh->entries[0].uid == (entries == 0 ? "s[1]\"}" : "s2"));
+      entries += fresh->entries.size();
+    }
+    CHECK(entries == came);
   }
-  CHECK(ReadListPrefix(whole, names, kLimits)->entries[0].uid == "s[1]\"}");
   for (const std::string& bad :
        {std::string(R"({"targets":[)") + entry + R"(],"rev":41,"all":true})",  // no version before them
+        std::string(R"({"rev":-1,"all":true,"targets":[)") + entry,            // one that cannot be
+        std::string(R"({"rev":99999999999999999999,"all":true,"targets":[)") + entry,
         head + R"({"uid":"s1","state":"dozing"},)" + gone, head + "}}]", std::string("[[")}) {
     INFO(bad);
-    const auto part = ReadListPrefix(bad, names, kLimits);
-    CHECK((!part || part->entries.empty()));
+    ListReader reader(names, kLimits);
+    reader.Feed(bad);
+    CHECK_FALSE(reader.TakeNew());
   }
 }
 
-TEST_CASE("the body of an HTTP answer so far, in each of its forms") {
-  const std::string status = "HTTP/1.1 200 OK\r\n";
-  const auto body = [&](const std::string& rest) {
-    const auto answer = ReadHttpPrefix(status + rest, 100, kLimits);
-    return answer ? answer->body : "none";
+TEST_CASE("an HTTP answer is read as its bytes come, in each of its forms, however it is cut") {
+  const std::string status = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n";
+  struct Form {
+    std::string rest, body;  // "none": no body was begun
+    Parsed open, closed;     // what it is while the connection is open, and once that has ended
+    std::size_t surplus = 0;
+  };
+  const Form forms[] = {
+      {"Content-Length: 9\r\n\r\nabc", "abc", Parsed::kMore, Parsed::kMore},
+      {"Content-Length: 3\r\n\r\nabcdef", "abc", Parsed::kDone, Parsed::kDone, 3},
+      {"Content-Length: 0\r\n\r\n", "", Parsed::kDone, Parsed::kDone},
+      {"\r\nabc", "abc", Parsed::kMore, Parsed::kDone},
+      {"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n9\r\ndef", "abcdef", Parsed::kMore, Parsed::kMore},
+      {"Transfer-Encoding: chunked\r\n\r\n3;x\r\nabc\r\n0\r\nX: y\r\n\r\nzz", "abc", Parsed::kDone,
+       Parsed::kDone, 2},
+      {"Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n", "abc", Parsed::kBad, Parsed::kBad},
+      {"Content-Length: 9\r\n", "none", Parsed::kMore, Parsed::kMore},
+      {"Content-Length: 101\r\n\r\nabc", "", Parsed::kBad, Parsed::kBad},
+      {"Transfer-Encoding: chunked\r\n\r\nzz\r\nabc", "", Parsed::kBad, Parsed::kBad},
+      {"\r\n" + std::string(101, 'x'), "", Parsed::kBad, Parsed::kBad},
   };
-  CHECK(body("Content-Length: 9\r\n\r\nabc") == "abc");
-  CHECK(body("Content-Length: 3\r\n\r\nabcdef") == "abc");
-  CHECK(body("\r\nabc") == "abc");
-  CHECK(body("Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n9\r\ndef") == "abcdef");
-  CHECK(body("Content-Length: 9\r\n") == "none");
-  CHECK(body("Content-Length: 101\r\n\r\nabc") == "none");
-  CHECK(body("Transfer-Encoding: chunked\r\n\r\nzz\r\nabc") == "none");
+  for (const Form& form : forms) {
+    const std::string text = status + form.rest;
+    for (std::size_t piece = 1; piece <= text.size(); piece = piece < 8 ? piece + 1 : piece * 2) {
+      INFO(text << " in pieces of " << piece);
+      HttpAnswerReader reader(100, kLimits);
+      Parsed got = Parsed::kMore;
+      for (std::size_t at = 0; at < text.size(); at += piece) got = reader.Feed(text.substr(at, piece));
+      CHECK(got == form.open);
+      CHECK(reader.head_read() == (form.body != "none"));
+      if (form.open != Parsed::kBad) CHECK(reader.surplus() == form.surplus);
+      if (form.open != Parsed::kBad && reader.head_read()) CHECK(reader.answer().body == form.body);
+      if (got == Parsed::kMore) got = reader.End();
+      CHECK(got == form.closed);
+    }
+  }
 }
 
 TEST_CASE("the configuration") {
--- a/tests/net/router_test.cpp
+++ b/tests/net/router_test.cpp
@@ -444,9 +444,9 @@
   router.process.Reload(Router::Config(later.address(), ""));  // again, in the middle of that call
   Fd fresh = later.Accept();
   CHECK(WatchCall(fresh).starts_with("GET /api/targets HTTP/1.1\r\n"));
+  fresh.Write(Http(List(3, true, Target("s1", node.address(), "in_service"))));
+  CHECK(WatchCall(fresh).starts_with("GET /api/targets?since=3&"));
   CHECK(passing.Ended());
-  fresh.Write(Http(List(1, true, Target("s1", node.address(), "in_service"))));
-  CHECK(WatchCall(fresh).starts_with("GET /api/targets?since=1&"));
   attempt.Write("VA 1 Oa1\r\nx\r\n");
   CHECK(client.Until("x\r\n") == "VA 1 Oa1\r\nx\r\n");
   Fd busy = router.Connect();
