Keep a crowded discovery from being called to a standstill: one call in its line, growing waits

With every call logged: a call beside one that waits in discovery's line is refused, and the refusal ends the waiting call as well; and refused calls cost discovery room too. Change: where calls have been refused of late, no second call goes beside one that waits for 2.2 s; a new configuration waits for a call that is out, or for the wait after a refusal; waits grow with each refusal in a row, and who has fresh news waits two fifths of what it is good for.

--- a/lab/explore/list_press.h
+++ b/lab/explore/list_press.h
@@ -10,9 +10,11 @@
   int routers = 30;
   Duration each{0};  // discovery takes for a call
   std::uint64_t seed = 1;
-  Duration longest_line{0};  // a call that would wait longer is refused at once; 0: none is
-  int configurations = 1;    // given to each router, each naming another address of the same service
-  Duration apart{0};         // from one of them to the next
+  Duration longest_line{0};    // a call that would wait longer is refused at once; 0: none is
+  double refusal_cost = 0;     // of a call that is refused, as part of what a call costs discovery
+  bool one_call_each = false;  // a refusal ends all of its router's calls that wait in the line
+  int configurations = 1;      // given to each router, each naming another address of the same service
+  Duration apart{0};           // from one of them to the next
 };
 
 constexpr Duration kNewsAfter = std::chrono::seconds(20);
--- a/src/discovery/list_refresher.cpp
+++ b/src/discovery/list_refresher.cpp
@@ -12,7 +12,10 @@
 constexpr Duration kLeastGap = std::chrono::seconds(1);
 constexpr Duration kMostGap = std::chrono::seconds(3);
 constexpr Duration kMostFirstGap = milliseconds(1500);
-constexpr int kEarlyCalls = 5;  // after these the gap doubles
+constexpr Duration kCrowdedGap = milliseconds(2200);  // where calls have been refused of late
+constexpr Duration kCrowdedFor = std::chrono::seconds(10);
+constexpr Duration kPrompt = milliseconds(500);  // an answer within this is that of a service at ease
+constexpr int kEarlyCalls = 5;                   // after these the gap doubles
 
 // The same before an agent that serves this router alone, as parts of a drain's grace.
 constexpr Duration kAgentLeastGap = milliseconds(25);
@@ -85,17 +88,30 @@
     return Step(now, CallEnd::kMoved, out);
   }
   target_ = to;
-  disturbed_ = false;
-  if (moving()) {
-    BoundPassing(out);
-    pacing_.Forget();
-  } else if (Watching()) {
+  if (!moving() && Watching()) {
     CloseOthers(CallEnd::kMoved, out);
+    disturbed_ = false;
+    return Step(now, CallEnd::kMoved, out);
   }
-  if (moving() || !Watching()) Disturb(now, Duration(0));
+  BoundPassing(out);
+  pacing_.Forget();
+  const Duration wait = WaitAfterMove(now);
+  disturbed_ = false;
+  Disturb(now, wait);
   Step(now, CallEnd::kMoved, out);
 }
 
+// Until the first call to the new address. Guards against calls forsaken by each of several configurations
+// in a row, which keep a slow discovery busy: one that waits in its line, and the wait after a refusal,
+// hold for the new address as well.
+Duration ListRefresher::WaitAfterMove(Time now) {
+  if (limits_.agent) return Duration(0);
+  const bool waiting =
+      std::any_of(calls_.begin(), calls_.end(), [](const Call& c) { return c.wait == Duration(0); });
+  if (waiting) return Gap(now);
+  return disturbed_ ? std::clamp(next_open_ - now, Duration(0), kMostFirstGap) : Duration(0);
+}
+
 void ListRefresher::Connected(Time, CallId id) {
   if (Call* call = Find(id)) call->connected = true;
 }
@@ -114,6 +130,7 @@
   const Call call = *found;
   std::erase_if(calls_, [id](const Call& c) { return c.id == id; });
   const Duration took = now - call.opened;
+  if (took < kPrompt && call.wait == Duration(0)) crowded_until_ = Time(0);
   if (call.wait == Duration(0)) {
     usual_ = std::max(took, usual_ * 3 / 4);
   } else if (took < call.wait + limits_.watch_grace / 2) {
@@ -131,6 +148,7 @@
     unanswered_ = lacks_ = 0;
   }
   if (call.source == target_ || call.source == current_) Open(now, call.source, true, id, out);
+  if (moving() && !AnyOut()) Disturb(now, Duration(0));
   Step(now, CallEnd::kAnswered, out);
   return true;
 }
@@ -142,7 +160,8 @@
   std::erase_if(calls_, [id](const Call& c) { return c.id == id; });
   const bool out_of_step = why == CallEnd::kOlderList || why == CallEnd::kNoBase;
   if (out_of_step && source == current_) version_.reset();
-  if (source == target_) AfterFailure(now, why);
+  if (why == CallEnd::kRefused) crowded_until_ = now + kCrowdedFor;
+  if (source == target_ || (moving() && !AnyOut())) AfterFailure(now, why);
   Step(now, why, out);
 }
 
@@ -255,7 +274,7 @@
 }
 
 // From this call to the next one beside it. Discovery that has been slow is given the time it takes.
-Duration ListRefresher::Gap() {
+Duration ListRefresher::Gap(Time now) {
   const Duration grace = limits_.drain_grace;
   const Duration patient = usual_ * 3 / 2;
   if (limits_.agent) {
@@ -267,6 +286,7 @@
   Duration gap = std::max(kLeastGap, pacing_.spread());
   if (unanswered_ <= 1) gap = std::min(gap, kMostFirstGap);
   for (int i = kEarlyCalls; i <= unanswered_ && gap < kMostGap; ++i) gap *= 2;
+  if (now < crowded_until_) gap = std::max(gap, kCrowdedGap);
   gap = std::min(kMostGap, std::max(gap, patient));
   return std::chrono::duration_cast<Duration>(gap * (0.8 + 0.2 * Any()));
 }
@@ -330,7 +350,7 @@
     case CallEnd::kOlderList:
       // The source is at work, and behind the others or begun anew: more calls in a row change neither.
       Disturb(now, first ? limits_.drain_grace / 4 : Duration(0));
-      if (!first) next_open_ = now + Gap();
+      if (!first) next_open_ = now + Gap(now);
       return;
     default:
       return BackOff(now);
@@ -341,7 +361,7 @@
 void ListRefresher::BackOff(Time now) {
   const Duration again = pacing_.Again(now, Any());
   Disturb(now, Duration(0));
-  next_open_ = now + (AnyOut() && !limits_.agent ? std::max(again, Gap()) : again);
+  next_open_ = now + (AnyOut() && !limits_.agent ? std::max(again, Gap(now)) : again);
 }
 
 // ---- Limits ----
@@ -390,7 +410,7 @@
   if (TakeHaste(now)) {
     Disturb(now, Duration(0));
   } else if (!disturbed_) {
-    Disturb(now, Gap());
+    Disturb(now, Gap(now));
   }
 }
 
@@ -401,7 +421,7 @@
     MakeRoom(out);
     Open(now, target_, false, 0, out);
     ++unanswered_;
-    next_open_ = now + Gap();
+    next_open_ = now + Gap(now);
   }
   const ListState to = !heard_                     ? ListState::kUnheard
                        : !disturbed_ && Watching() ? ListState::kFollowing
--- a/src/discovery/list_refresher.h
+++ b/src/discovery/list_refresher.h
@@ -183,7 +183,8 @@
   CallEnd CheckLimits(Time now, ListActions& out);
   void CheckAnswering(Time now, CallId id);
   void Step(Time now, CallEnd why, ListActions& out);
-  Duration Gap();
+  Duration Gap(Time now);
+  Duration WaitAfterMove(Time now);
   Duration ConnectLimit() const;
   Duration StallLimit() const;
   Duration Usual(Duration most) const;
@@ -201,6 +202,7 @@
   ListState state_ = ListState::kUnheard;
   bool disturbed_ = false;       // something speaks against the watch; calls go out until a list comes
   Time next_open_{Time::max()};  // while disturbed
+  Time crowded_until_{0};        // discovery has refused calls of late
   int unanswered_ = 0;           // calls opened since the last word that were not refused
   int lacks_ = 0;                // calls in a row for which there was no descriptor
   double haste_ = 0;             // quick repeats that are left
--- a/src/recovery/list_calls.h
+++ b/src/recovery/list_calls.h
@@ -7,10 +7,10 @@
 // their calls have to be spread, or discovery refuses them all. So waits are as long as the fleet is large,
 // but never past kMost, which leaves room for three calls within kTold.
 //
-// Where discovery is short of room, the fleet shares it. A router that heard its word a moment ago gives
-// way to those that have not: the more time its list has left, the longer it waits. One whose list is
-// older than kTold calls as often as the size of the fleet allows, and goes on so until it is told: whoever
-// keeps losing by chance would otherwise be the one that calls least.
+// Where discovery is short of room, the fleet shares it, and calls that it refuses cost it room as well: a
+// fleet that calls the more often the more it is refused keeps everyone out. So waits grow with each
+// refusal in a row, up to a bound that leaves several calls within kTold, and a router that heard its word
+// a moment ago gives way: the more time its list has left, the longer it waits.
 //
 // Where lists are pushed, an agent beside this router has them: it serves this router alone, and what it
 // has counts as told at once. Nothing is to be spread there, and a call that failed is made again well
@@ -19,6 +19,7 @@
 #define BRASSWOOD_RECOVERY_LIST_CALLS_H_
 
 #include <algorithm>
+#include <cmath>
 
 #include "beechledge/balancer.h"
 #include "sight/smoothed.h"
@@ -41,28 +42,35 @@
   // Over how long the first calls of a fleet that begins together are spread.
   Duration spread() const { return spread_; }
   // Discovery has said its word: the list is true as of now.
-  void Told(Time now) { known_ = now; }
+  void Told(Time now) {
+    known_ = now;
+    refused_ = 0;
+  }
   // It is another discovery from now on, which has not said anything yet.
   void Forget() { known_ = Time(-kTold); }
   // Until the next call after one that came to nothing.
-  Duration Again(Time now, double any) const {
+  Duration Again(Time now, double any) {
     const double part = 0.5 + 0.5 * any;
     if (agent_) return FromSeconds(Seconds(agent_wait_) * part);
+    const double growth = std::pow(kGrowth, std::min(refused_++, kMostGrowths));
     const Duration left = std::max(Duration(0), known_ + kTold - now);
-    const Duration most = std::clamp(spread_ * 2, wait_, std::max(wait_, kMost));
-    return FromSeconds(Seconds(std::clamp(left / 4, haste_, most)) * part);
+    const Duration wait = std::min(FromSeconds(Seconds(haste_) * growth), wait_);
+    return FromSeconds(Seconds(std::max(wait, left * 2 / 5)) * part);
   }
 
  private:
   static constexpr Duration kMost = std::chrono::seconds(2);          // between two calls
   static constexpr Duration kFirst = std::chrono::seconds(1);         // a few routers wait so long, too
   static constexpr Duration kEach = std::chrono::milliseconds(50);    // for each router of the fleet
-  static constexpr Duration kLeast = std::chrono::milliseconds(250);  // between two calls, small fleets
+  static constexpr Duration kLeast = std::chrono::milliseconds(300);  // between two calls, small fleets
+  static constexpr double kGrowth = 1.1;  // of the wait with each refusal in a row
+  static constexpr int kMostGrowths = 8;
   static constexpr Duration kAgentLeast = std::chrono::milliseconds(25);
   static constexpr Duration kAgentMost = std::chrono::milliseconds(250);
 
   bool agent_;
   Duration spread_, wait_, haste_, agent_wait_;
+  int refused_ = 0;     // calls since discovery's last word
   Time known_{-kTold};  // when the list was last known to be true
 };
 
