--- a/src/discovery/server_directory.cpp
+++ b/src/discovery/server_directory.cpp
@@ -195,8 +195,12 @@
   }));
 }
 
+// A list with nothing in service is no evidence: taken as the truth, it would leave nothing to serve from.
 bool ServerDirectory::RestartProven(const ServerList& list, const ListOrigin& origin) const {
-  return list.all && doubt_.lists + 1 >= kRestartLists &&
+  const bool serves = std::any_of(list.entries.begin(), list.entries.end(), [](const ServerEntry& entry) {
+    return entry.availability == Availability::kUp;
+  });
+  return list.all && serves && doubt_.lists + 1 >= kRestartLists &&
          origin.begun - doubt_.first_begun >= kRestartEvidence;
 }
 
--- a/tests/net/directory_test.cpp
+++ b/tests/net/directory_test.cpp
@@ -188,6 +188,7 @@
   CHECK_FALSE(directory.Serves("s1"));
   CHECK(directory.Serves("s3"));
   CHECK(ask(3, {Entry("s1", kDraining), Entry("s2")}, 25s) == ListVerdict::kDoubted);
+  CHECK(ask(4, {}, 26s) == ListVerdict::kDoubted);  // nothing to serve from
   CHECK(ask(4, {Entry("s1", kDraining), Entry("s2"), Entry("s4")}, 26s) == ListVerdict::kRestartTaken);
   CHECK(directory.held() == 4);
   CHECK(directory.Named("s1").out_since == 21s + 100ms);
