--- a/lab/base/scenario.cpp
+++ b/lab/base/scenario.cpp
@@ -101,7 +101,9 @@
   if (f.kind == FaultKind::kLinkSlow && f.delay + f.jitter <= Duration(0)) {
     in.Complain("delay_ms", "is missing: by how much answers are delayed");
   }
-  const bool timed_calls = f.kind == FaultKind::kListSlow || f.kind == FaultKind::kListQueue;
+  const bool timed_calls = f.kind == FaultKind::kListSlow || f.kind == FaultKind::kListQueue ||
+                           f.kind == FaultKind::kListLate || f.kind == FaultKind::kListPieces ||
+                           f.kind == FaultKind::kListLag;
   if (timed_calls && f.delay <= Duration(0)) {
     in.Complain("delay_ms", "is missing: how long discovery takes for a call");
   }
--- a/lab/base/scenario.h
+++ b/lab/base/scenario.h
@@ -143,8 +143,11 @@
   kListOld,    // or answered with a list older than the one asked from
   kCrowd,      // `size` idle clients at each router: each asks whether it is ready, rests, and comes back a
                // second after its connection was closed
-  kReload      // a new configuration with SIGHUP every `every`, there and back between two addresses of
+  kReload,     // a new configuration with SIGHUP every `every`, there and back between two addresses of
                // discovery
+  kListLate,   // discovery takes what it answers at once, and writes it `delay` later
+  kListPieces,  // it writes each answer in even pieces over `delay`
+  kListLag      // the second address of discovery hears of each change `delay` later
 };
 inline constexpr std::string_view kFaultNames[] = {
     "hang",       "slow",       "reset",        "refuse",        "half",           "garbage",
@@ -153,7 +156,7 @@
     "link_lossy", "partition",  "machine_drop", "capacity_drop", "restart",        "disk",
     "flood",      "held_up",    "calls",        "clock",         "no_length",      "leave",
     "list_slow",  "list_queue", "list_half",    "list_reset",    "list_deaf",      "list_busy",
-    "list_old",   "crowd",      "reload"};
+    "list_old",   "crowd",      "reload",       "list_late",     "list_pieces",    "list_lag"};
 
 // What a router finds of its kept state when it begins again, and what list it is given.
 enum class KeptAs { kKept, kNone, kTorn, kNewer, kFuture, kOthers, kOld };
--- a/lab/run/soak.cpp
+++ b/lab/run/soak.cpp
@@ -177,6 +177,18 @@
     [](FaultTable& f) { ListTrouble(f, "list_deaf"); },
     [](FaultTable& f) { ListTrouble(f, "list_busy"); },
     [](FaultTable& f) { ListTrouble(f, "list_old"); },
+    [](FaultTable& f) {
+      f.Begin("list_late", 2, 8);
+      f.Set("delay_ms", f.Between(50, 2500));
+    },
+    [](FaultTable& f) {
+      f.Begin("list_pieces", 2, 8);
+      f.Set("delay_ms", f.Between(50, 2500));
+    },
+    [](FaultTable& f) {
+      f.Begin("list_lag", 2, 8);
+      f.Set("delay_ms", f.Between(200, 3000));
+    },
     [](FaultTable& f) {
       f.Begin("reload", 0.5, 4);
       f.Set("part", f.Between(0.1, 1));
--- a/lab/truth/judge.cpp
+++ b/lab/truth/judge.cpp
@@ -209,6 +209,9 @@
     switch (f.kind) {
       case FaultKind::kDiscovery:
       case FaultKind::kListSlow:
+      case FaultKind::kListLate:
+      case FaultKind::kListPieces:
+      case FaultKind::kListLag:
         return true;
       case FaultKind::kListQueue: {
         const auto& s = truth_.scenario;
--- a/lab/world/discovery.cpp
+++ b/lab/world/discovery.cpp
@@ -7,6 +7,7 @@
 namespace brasswood::lab {
 namespace {
 
+constexpr std::size_t kPieces = 20;  // of an answer that is written in pieces
 constexpr std::string_view kStates[] = {"in_service", "terminating", "terminated"};
 
 }  // namespace
@@ -33,6 +34,13 @@
 }
 
 void Discovery::List(int machine, Listed state) {
+  const Time now = loop().Now();
+  hears_at_ = std::max(hears_at_, now + trouble_.lag);
+  if (hears_at_ <= now) return Hear(machine, state);
+  loop().deadlines().Set(hears_at_, [this, machine, state] { Hear(machine, state); });
+}
+
+void Discovery::Hear(int machine, Listed state) {
   ++rev_;
   const auto it =
       std::find_if(entries_.begin(), entries_.end(), [&](const Entry& e) { return e.machine == machine; });
@@ -80,6 +88,13 @@
         HttpReply(200, "", R"({"rev":)" + std::to_string(since - 1) + R"(,"all":true,"targets":[]})"));
   }
   const std::string text = HttpReply(200, "", Text(peer.router, since, whole));
+  if (trouble_.late > Duration(0)) {
+    loop().deadlines().Set(loop().Now() + trouble_.late, [this, id = peer.id, since, whole, text] {
+      if (Peer* at = FindPeer(id)) Deliver(*at, since, whole, text);
+    });
+    return;
+  }
+  if (trouble_.pieces > Duration(0)) return Deliver(peer, since, whole, text);
   const bool reset = Chance(rng_, trouble_.reset), half = reset || Chance(rng_, trouble_.half);
   const std::string_view written = std::string_view(text).substr(0, half ? text.size() / 2 : text.size());
   if (!half) world_.truth().lists.push_back({peer.router, loop().Now(), false});
@@ -92,6 +107,26 @@
   }
 }
 
+void Discovery::Deliver(Peer& peer, std::int64_t since, bool whole, const std::string& text) {
+  world_.truth().lists.push_back({peer.router, loop().Now(), false});
+  if (trouble_.pieces > Duration(0)) {
+    return WriteNextPiece({peer.id, since, whole, text, 0}, trouble_.pieces / kPieces);
+  }
+  Write(peer, text);
+  NoteTold(peer, since, whole, text);
+}
+
+void Discovery::WriteNextPiece(Outgoing out, Duration apart) {
+  Peer* const peer = FindPeer(out.peer);
+  if (peer == nullptr) return;
+  const std::string piece = out.text.substr(out.written, out.text.size() / kPieces + 1);
+  out.written += piece.size();
+  Write(*peer, piece);
+  NoteTold(*peer, out.since, out.whole, std::string_view(out.text).substr(0, out.written));
+  if (out.written >= out.text.size()) return;
+  loop().deadlines().Set(loop().Now() + apart, [this, out, apart] { WriteNextPiece(out, apart); });
+}
+
 void Discovery::NoteTold(const Peer& peer, std::int64_t since, bool whole, std::string_view written) {
   for (std::size_t n = 0; n < entries_.size(); ++n) {
     const Entry& e = entries_[n];
--- a/lab/world/world.cpp
+++ b/lab/world/world.cpp
@@ -290,6 +290,15 @@
       return Ail({.busy = fault.share}, fault);
     case FaultKind::kListOld:
       return Ail({.old = fault.share}, fault);
+    case FaultKind::kListLate:
+      return Ail({.late = fault.delay}, fault);
+    case FaultKind::kListPieces:
+      return Ail({.pieces = fault.delay}, fault);
+    case FaultKind::kListLag: {
+      Discovery& last = *discoveries_.back();
+      last.trouble().lag = fault.delay;
+      return later([&last] { last.trouble().lag = Duration(0); });
+    }
     case FaultKind::kOriginStop:
       return origin_->Stop(fault.length);
     default:
--- a/tests/lab/parts_test.cpp
+++ b/tests/lab/parts_test.cpp
@@ -267,7 +267,7 @@
       });
     }
   }
-  CHECK(kinds.size() == 31);
+  CHECK(kinds.size() == 34);
   CHECK(overlapping > 400);
 }
 
