Judge a server by what its present life was asked

Seen by reading for outcomes that arrive after newer news: an attempt's failure counted for whatever process stood at the server when it came, so the failures of a process that died could take out the one just started, and an answer of the old one could confirm a key at the new one. Cause: outcomes knew their server, not its life. Change: an attempt keeps the life that it was sent to; another life's outcome teaches nothing of the server. The test failed before.

--- a/src/choice/learn.cpp
+++ b/src/choice/learn.cpp
@@ -10,7 +10,7 @@
     // A write voids the kept copies; an error says that the copy is gone and could not be fetched again.
     const bool ok = e.result == Result::kOk, ran = ok || e.result == Result::kSpoilt;
     for (Holder& h : entry->holders) {
-      const bool here = h.server == a.server && h.life == servers_[a.server].life;
+      const bool here = h.server == a.server && h.life == a.life;
       if (r.write && ran) {
         h.confirmed = false;
       } else if (here && !r.write && e.result != Result::kSpoilt) {
@@ -50,6 +50,8 @@
   }
   // In a lost hall no failure is the server's own: it is to be well again as soon as its hall is.
   if (HallLost(s)) return;
+  // Guards against taking a server out for what its process before the last start failed.
+  if (a.life != s.life) return;
   switch (e.result) {
     case Result::kOk:
       served_.Add(now_, kRateTau, 1);
--- a/src/choice/records.h
+++ b/src/choice/records.h
@@ -47,7 +47,8 @@
   bool fetch = false;  // a miss is likely: the origin will be asked
   bool out = true;
   bool may_have_run = true;
-  bool overdue = false;  // taken back for taking too long
+  bool overdue = false;    // taken back for taking too long
+  std::uint32_t life = 0;  // of its server, when it was sent
   // It ended by something on its way, a spoilt answer or a broken or silent connection, while its server
   // was at work for others.
   bool astray = false;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -342,6 +342,28 @@
   EXPECT_EQ(d.Ask("a"), home);
 }
 
+// Guards against taking a server out for what its process before the last start was asked.
+TEST(Health, FailuresOfAnEarlierLifeTakeNoServerOut) {
+  for (const bool restarts : {false, true}) {
+    Driver d;
+    d.Servers(4);
+    const int home = d.Serve("a");
+    for (int i = 0; i < 20; ++i) d.Serve("a");
+    std::vector<RequestId> open;
+    for (int i = 0; i < 6; ++i) {
+      ASSERT_EQ(d.Ask("a"), home);
+      open.push_back(d.last_id);
+    }
+    if (restarts) {
+      ServerEntry anew = Up(static_cast<ServerId>(home));
+      anew.started = d.now;
+      d.List(ListKind::kChanges, {anew});
+    }
+    for (const RequestId id : open) d.Ends(id, 0, Result::kError);
+    EXPECT_EQ(d.Avoids(static_cast<ServerId>(home)), !restarts);
+  }
+}
+
 // Guards against connections that fall silent while their server answers others: only the client's end
 // would tell.
 TEST(Health, AnOverdueAttemptIsTakenBackOnceWhileItCanStillBeInTime) {
--- a/tests/driver.h
+++ b/tests/driver.h
@@ -94,6 +94,7 @@
   }
 
   Kept Keep(std::size_t most_keys = 1000) const { return balancer_.Keep(now, most_keys); }
+  bool Avoids(ServerId server) const { return balancer_.Avoids(server); }
   void Recall(const Kept& kept, double faith = 1) { balancer_.Recall(now, kept, faith); }
 
   void List(ListKind kind, std::vector<ServerEntry> entries) { Feed(ServerList{kind, std::move(entries)}); }
