--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <iostream>
 
+#include "lab/explore/directory_exploration.h"
 #include "lab/explore/list_exploration.h"
 #include "lab/explore/list_press.h"
 #include "lab/run/soak.h"
@@ -181,6 +182,8 @@
   explore->add_option("--seeds", explore_seeds, "How many")
       ->check(CLI::Range(1, 100000000))
       ->capture_default_str();
+  bool explore_directory = false;
+  explore->add_flag("--directory", explore_directory, "What is known of servers, not the calls");
   explore->add_flag("--chained", explore_chained, "A machine built wrong, which is to be caught");
 
   CLI::App* press = app.add_subcommand(
@@ -221,7 +224,10 @@
     if (*explore) {
       const MakeCaller make = explore_chained ? MakeChained : MakeRefresher;
       const auto last = explore_first + explore_seeds - 1;
-      exit = Explore(explore_first, last, make, std::cout) == 0 ? Exit::kFine : Exit::kFailed;
+      const int broken = explore_directory
+                             ? ExploreDirectory(explore_first, last, DirectoryFault::kNone, std::cout)
+                             : Explore(explore_first, last, make, std::cout);
+      exit = broken == 0 ? Exit::kFine : Exit::kFailed;
     }
     if (*press) PrintPress(press_seed, std::cout);
     if (*check) {
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -96,17 +96,15 @@
 
 // ---- Actions ----
 
-void DiscoveryWatch::Carry(const ListActions& actions) {
-  for (const ListAction& action : actions) {
-    std::visit([this](const auto& a) { Do(a); }, action);
-  }
-  ListActions more;
-  for (const CallId id : std::exchange(unconnected_, {})) {
-    ++counters_.ended[static_cast<std::size_t>(CallEnd::kNoDescriptor)];
-    refresher_.Failed(loop_.Now(), id, CallEnd::kNoDescriptor, more);
-  }
-  for (const ListAction& action : more) {
-    std::visit([this](const auto& a) { Do(a); }, action);
+void DiscoveryWatch::Carry(ListActions actions) {
+  while (!actions.empty()) {
+    for (const ListAction& action : std::exchange(actions, {})) {
+      std::visit([this](const auto& a) { Do(a); }, action);
+    }
+    for (const CallId id : std::exchange(unconnected_, {})) {
+      ++counters_.ended[static_cast<std::size_t>(CallEnd::kNoDescriptor)];
+      refresher_.Failed(loop_.Now(), id, CallEnd::kNoDescriptor, actions);
+    }
   }
   kept_.reset();
   Arm();
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -68,7 +68,7 @@
     ListReader list;
   };
 
-  void Carry(const ListActions& actions);
+  void Carry(ListActions actions);
   void Do(const OpenCall& action);
   void Do(const CloseCall& action);
   void Do(const StateChanged& action);
--- a/tests/lab/explore_test.cpp
+++ b/tests/lab/explore_test.cpp
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <sstream>
 
+#include "lab/explore/directory_exploration.h"
 #include "lab/explore/list_exploration.h"
 #include "lab/explore/list_press.h"
 
@@ -71,3 +72,28 @@
     }
   }
 }
+
+TEST_CASE(
+    "whatever the order, source or cut of discovery's answers, the newest word of each server holds") {
+  std::ostringstream said;
+  CHECK(ExploreDirectory(1, 4000, DirectoryFault::kNone, said) == 0);
+  INFO(said.str());
+  CHECK(said.str() == "4000 seeds, 0 broken\n");
+}
+
+TEST_CASE(
+    "a directory built wrong is caught within a thousand schedules, with a trace that can be played "
+    "again") {
+  for (std::size_t f = 1; f < kDirectoryFaultNames.size(); ++f) {
+    INFO(kDirectoryFaultNames[f]);
+    const auto fault = static_cast<DirectoryFault>(f);
+    std::ostringstream said;
+    CHECK(ExploreDirectory(1, 1000, fault, said) > 0);
+    CHECK(said.str().find("BROKEN: ") != std::string::npos);
+  }
+  std::ostringstream first, second;
+  ExploreDirectorySeed(7, DirectoryFault::kNone, &first);
+  ExploreDirectorySeed(7, DirectoryFault::kNone, &second);
+  CHECK_FALSE(first.str().empty());
+  CHECK(first.str() == second.str());
+}
