Review case 2: a pace that a single core keeps up with, and a record of each request

Cause: with a client each 15 ms a slow machine would refuse most of the commands, and the case would not show the fault there; the record had no single requests.

Change: a client each 40 ms, three writes at a time at the origin, the usual clients publish one time in 25; what was sent, run and answered is recorded.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -14,8 +14,8 @@
 constexpr int kBurstReads = 250;                 // "hundreds of commands at once"
 constexpr int kUsualClients = 10;
 constexpr double kOriginMs = 200;  // the origin's work for a write, kOriginSlots at a time
-constexpr int kOriginSlots = 8, kOriginQueue = 100;
-constexpr double kRunMs = 12000, kBurstAtMs = 3000, kBurstEveryMs = 15;
+constexpr int kOriginSlots = 3, kOriginQueue = 100;
+constexpr double kRunMs = 12000, kBurstAtMs = 3000, kBurstEveryMs = 40;
 
 // The origin carries out kOriginSlots requests at a time; kOriginQueue more wait, others are turned away.
 std::mutex g_lock;
@@ -56,6 +56,7 @@
     const std::string answer = command.verb == "mn" ? "MN\r\n"
                                                     : "VA " + std::to_string(kValue) + " O" + command.id + "\r\n" +
                                                           value + "\r\n";
+    if (command.verb != "mn") RECORD("cache server: mg %s O%s", command.key.c_str(), command.id.c_str());
     if (!socket.Write(answer)) return;
   }
 }
@@ -77,19 +78,21 @@
   return line.rfind("VA ", 0) != 0 || socket.ReadBytes(std::stoul(line.substr(3)) + 2, value, until);
 }
 
-// One request at a time: nine reads, then a publish, and so on.
+// One request at a time: 24 reads, then a publish, and so on.
 void UsualClient(int number, int port) {
   Socket socket;
   for (int n = 0; !g_stop; ++n) {
     if (socket.fd() < 0 && (g_killed || !socket.Connect(port))) return;
     char id[32];
     std::snprintf(id, sizeof id, "a%03x%06x", number, n);
-    const bool write = n % 10 == 9;
+    const bool write = n % 25 == 24;
     const double sent = Now();
     std::string line;
+    RECORD("usual client %d: sends %s O%s", number, write ? "ms" : "mg", id);
     if (socket.Write(write ? PublishText(id, "pub" + std::to_string(number)) : ReadText(id, number * 37 + n)) &&
         ReadAnswer(socket, line, sent + 4600)) {
       ++g_usual_answered;
+      RECORD("usual client %d: gets '%s' for %s", number, line.c_str(), id);
       SleepMs(40);
       continue;
     }
@@ -118,10 +121,13 @@
   for (int n = 0; n <= kBurstReads; ++n) {
     if (!ReadAnswer(socket, line, Now() + 10000)) {
       g_burst_lost += kBurstReads + 1 - n;
+      RECORD("client %d has got %d of %d answers; its connection %s", number, n, kBurstReads + 1,
+             socket.closed() ? "has ended" : "is silent");
       return;
     }
     ++g_burst_answered;
   }
+  RECORD("client %d has got all answers", number);
 }
 
 double ResidentMb(pid_t pid) {
