--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -89,8 +89,10 @@
     const double sent = Now();
     std::string line;
     RECORD("usual client %d: sends %s O%s", number, write ? "ms" : "mg", id);
-    if (socket.Write(write ? PublishText(id, "pub" + std::to_string(number)) : ReadText(id, number * 37 + n)) &&
-        ReadAnswer(socket, line, sent + 4600)) {
+    // Not taken: what could not be written, or was written when the router had been killed.
+    if (!socket.Write(write ? PublishText(id, "pub" + std::to_string(number)) : ReadText(id, number * 37 + n)) || g_killed)
+      return;
+    if (ReadAnswer(socket, line, sent + 4600)) {
       ++g_usual_answered;
       RECORD("usual client %d: gets '%s' for %s", number, line.c_str(), id);
       SleepMs(40);
