Count the bytes of answers that wait for clients, by state, and log their highs

Change: core/answer_memory.h, an account of one process with one sub-account for each connection: held (behind an earlier answer), unsent (not accepted by the kernel yet), and room for reservations, which nothing makes yet. SIGUSR1 and the exit log it, and a line at each doubling of its highest value names what grew. Nothing is limited by it yet.

--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -25,6 +25,9 @@
   std::size_t max_http_head = 16 * 1024;  // status line and headers of an HTTP answer
   std::size_t max_list = 8 << 20;         // a server list
   std::size_t max_unsent = 1 << 20;       // answers that wait for one client; above this it is not read
+  // Shared by the answers of all clients that wait for an earlier answer or that their client does not
+  // read; core/answer_memory.h has the rules.
+  std::size_t max_answer_memory = 28 << 20;
   // What a client sends after its last answer; it is read and dropped. Closing a socket with unread input
   // sends a reset, which could destroy the answer before the client has read it.
   std::size_t max_discarded = 80 << 20;
@@ -125,6 +128,9 @@
   Duration state_poll_interval{std::chrono::milliseconds(250)};
   // A process whose heartbeat file has not been renewed for this long counts as ended.
   std::chrono::milliseconds heartbeat_timeout{1000};
+
+  // The most that one answer takes which is read whole before it is passed on: its line and its value.
+  std::size_t AnswerSize() const { return max_line + max_value; }
 };
 
 // The share of `whole` for one of `processes` processes that serve the same router side by side, as the old
--- /dev/null
+++ b/src/core/answer_memory.h
@@ -0,0 +1,82 @@
+// The memory of answers on their way to clients, accounted in bytes. Free of I/O; used by front ends.
+//
+// Every connection has a private allowance of one whole answer (Limits::AnswerSize), which only the answer
+// that is next in its order may use. Whatever exceeds it is drawn from a memory that all connections share
+// (Limits::max_answer_memory): answers that wait for an earlier one, reservations for requests that were
+// begun behind another, and unsent bytes beyond the allowance. A front end begins a request behind another
+// only if a whole answer fits into the shared memory, so that
+//  - answers never hold more than the shared memory plus one allowance for each connection, and
+//  - the shared memory always drains: each of its bytes belongs to a connection whose next answer needs
+//    none of it.
+#ifndef BRASSWOOD_CORE_ANSWER_MEMORY_H_
+#define BRASSWOOD_CORE_ANSWER_MEMORY_H_
+
+#include <cstddef>
+#include <ostream>
+
+#include "config/limits.h"
+
+namespace brasswood {
+
+// Bytes of answers, by state.
+struct AnswerBytes {
+  std::size_t reserved = 0;  // for answers of requests that were begun behind another and are not answered
+  std::size_t held = 0;      // answers, or parts of them, that wait for an earlier one of their connection
+  std::size_t unsent = 0;    // next in the order of their connection, but not yet accepted by the kernel
+};
+
+// The account of a whole process. Must outlive the accounts of its connections.
+class AnswerMemory {
+ public:
+  explicit AnswerMemory(const Limits& limits) : limits_(limits) {}
+  AnswerMemory(const AnswerMemory&) = delete;
+  AnswerMemory& operator=(const AnswerMemory&) = delete;
+
+  const AnswerBytes& bytes() const { return bytes_; }
+  std::size_t shared() const { return shared_; }  // bytes in use of the shared memory
+  // The highest number of bytes that answers have held and left unsent at a time.
+  std::size_t highest() const { return highest_; }
+
+ private:
+  friend class AnswerAccount;
+  void Replace(const AnswerBytes& before, const AnswerBytes& after);
+  std::size_t SharedBytes(const AnswerBytes& bytes) const;
+
+  const Limits& limits_;
+  AnswerBytes bytes_;
+  std::size_t shared_ = 0;
+  std::size_t highest_ = 0;
+  std::size_t logged_ = 1 << 20;  // the next value of highest_ that is logged
+};
+
+// Writes the bytes by state, as NAME=BYTES.
+std::ostream& operator<<(std::ostream& out, const AnswerMemory& memory);
+
+// The account of one connection. Returns everything when it is destroyed.
+class AnswerAccount {
+ public:
+  explicit AnswerAccount(AnswerMemory& memory) : memory_(memory) {}
+  AnswerAccount(const AnswerAccount&) = delete;
+  AnswerAccount& operator=(const AnswerAccount&) = delete;
+  ~AnswerAccount() { Set({}); }
+
+  const AnswerBytes& bytes() const { return bytes_; }
+  void AddHeld(std::size_t bytes) { Set({bytes_.reserved, bytes_.held + bytes, bytes_.unsent}); }
+  void RemoveHeld(std::size_t bytes) { Set({bytes_.reserved, bytes_.held - bytes, bytes_.unsent}); }
+  void SetUnsent(std::size_t bytes) { Set({bytes_.reserved, bytes_.held, bytes}); }
+  // No answer is due any more; what is unsent stays.
+  void DropPending() { Set({0, 0, bytes_.unsent}); }
+
+ private:
+  void Set(const AnswerBytes& bytes) {
+    memory_.Replace(bytes_, bytes);
+    bytes_ = bytes;
+  }
+
+  AnswerMemory& memory_;
+  AnswerBytes bytes_;
+};
+
+}  // namespace brasswood
+
+#endif  // BRASSWOOD_CORE_ANSWER_MEMORY_H_
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -132,6 +132,7 @@
   loop.OnSignal(SIGUSR1, [&] {
     LogLine(Level::kInfo) << counters << "; now open: requests=" << engine.open_requests()
                           << " clients=" << front.clients() << " server_connections=" << budget.open;
+    LogLine(Level::kInfo) << front.answer_memory();
     LogLine(Level::kInfo) << watch;
   });
   const auto stop = [&] {
@@ -148,6 +149,7 @@
   signals.Block();
   counters.invariants.Expect(engine.open_requests() == 0, Invariant::kAnsweredBeforeClose, "exit");
   LogLine(Level::kInfo) << counters;
+  LogLine(Level::kInfo) << front.answer_memory();
   LogLine(Level::kInfo) << watch;
 }
 
--- a/src/net/client_close.cpp
+++ b/src/net/client_close.cpp
@@ -169,7 +169,7 @@
 void ClientFrontEnd::CancelPending(Client& client) {
   const std::deque<Pending> pending = std::exchange(client.pending, {});
   client.first_number += pending.size();
-  client.held_bytes = 0;
+  client.answers.DropPending();
   for (const Pending& p : pending) {
     if (p.ticket != 0) tickets_.Remove(p.ticket);
     if (p.request != 0) engine_.ClientGone(p.request);
--- a/src/net/client_front_end.cpp
+++ b/src/net/client_front_end.cpp
@@ -32,6 +32,7 @@
       names_(names),
       counters_(counters),
       listener_(nullptr, evconnlistener_free),
+      answer_memory_(limits),
       shutdown_(limits) {
   idle_used_once_.max_size = limits_.max_idle_clients;
   idle_reused_.max_size = limits_.max_idle_reused_clients;
@@ -140,7 +141,7 @@
   accept_failures_ = 0;
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  auto owned = std::make_unique<Client>();
+  auto owned = std::make_unique<Client>(answer_memory_);
   Client& client = *owned;
   client.front = this;
   client.buffer.reset(bufferevent_socket_new(loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE));
@@ -174,6 +175,12 @@
           at->front->Close(at->id, ClientEndReason::kClosedByClient);
       },
       &client);
+  evbuffer_add_cb(
+      bufferevent_get_output(client.buffer.get()),
+      [](evbuffer*, const evbuffer_cb_info* change, void* p) {
+        static_cast<Client*>(p)->answers.SetUnsent(change->orig_size + change->n_added - change->n_deleted);
+      },
+      &client);
   // Buffers at most one command of the largest size and a little more; the rest waits in the kernel.
   bufferevent_setwatermark(client.buffer.get(), EV_READ, 0, limits_.max_value + 2 * limits_.max_line);
   const auto stall = std::chrono::duration_cast<std::chrono::seconds>(limits_.write_stall_timeout).count();
@@ -188,8 +195,7 @@
 // bytes are unsent.
 bool ClientFrontEnd::IsFull(const Client& client) const {
   return client.pending.size() >= limits_.max_pipeline ||
-         client.held_bytes + evbuffer_get_length(bufferevent_get_output(client.buffer.get())) >=
-             limits_.max_unsent;
+         client.answers.bytes().held + client.answers.bytes().unsent >= limits_.max_unsent;
 }
 
 void ClientFrontEnd::ReadCommands(Client& client) {
@@ -301,7 +307,7 @@
 }
 
 void ClientFrontEnd::Reply(Client& client, std::string text) {
-  client.held_bytes += text.size();
+  client.answers.AddHeld(text.size());
   Pending pending;
   pending.answered = true;
   pending.text = std::move(text);
@@ -337,7 +343,7 @@
   }
   pending->answered = true;
   pending->request = 0;
-  client->held_bytes += pending->text.size() - before;
+  client->answers.AddHeld(pending->text.size() - before);
   Flush(*client);
 }
 
@@ -352,7 +358,7 @@
       .append(pending->id)
       .append("\r\n");
   pending->streaming = true;
-  client->held_bytes += pending->text.size() - before;
+  client->answers.AddHeld(pending->text.size() - before);
   Flush(*client);
 }
 
@@ -361,7 +367,7 @@
   Pending* pending = FindPending(ticket, client);
   if (pending == nullptr || !pending->streaming || pending->answered) return;
   pending->text.append(bytes);
-  client->held_bytes += bytes.size();
+  client->answers.AddHeld(bytes.size());
   Flush(*client);
 }
 
@@ -376,7 +382,7 @@
   if (to == nullptr) return 0;
   const auto* found = clients_.Find(to->client);
   if (found == nullptr) return 0;
-  return (*found)->held_bytes + evbuffer_get_length(bufferevent_get_output((*found)->buffer.get()));
+  return (*found)->answers.bytes().held + (*found)->answers.bytes().unsent;
 }
 
 // Sends the answers that are available, as far as the order of the commands allows. What follows from an
@@ -386,8 +392,8 @@
   while (!client.cut_off && !client.pending.empty() &&
          (client.pending.front().answered || client.pending.front().streaming)) {
     Pending& front = client.pending.front();
+    client.answers.RemoveHeld(front.text.size());
     bufferevent_write(client.buffer.get(), front.text.data(), front.text.size());
-    client.held_bytes -= front.text.size();
     front.text.clear();
     if (!front.answered) break;  // the rest of its value has not arrived
     const bool truncated = front.truncated;
--- a/src/net/client_front_end.h
+++ b/src/net/client_front_end.h
@@ -13,6 +13,7 @@
 
 #include "config/limits.h"
 #include "config/settings.h"
+#include "core/answer_memory.h"
 #include "core/engine.h"
 #include "core/shutdown.h"
 #include "core/slots.h"
@@ -52,6 +53,7 @@
   void ApplyLimits();
 
   std::size_t clients() const { return clients_.size(); }
+  const AnswerMemory& answer_memory() const { return answer_memory_; }
   std::uint16_t port() const;  // the port it listens on
 
  private:
@@ -70,12 +72,13 @@
     std::string text;
   };
   struct Client {
+    explicit Client(AnswerMemory& memory) : answers(memory) {}
     ClientFrontEnd* front = nullptr;
     std::uint64_t id = 0;
     BufferPtr buffer;
     std::deque<Pending> pending;
     std::uint64_t first_number = 0;  // the sequence number of pending.front()
-    std::size_t held_bytes = 0;      // answer bytes in `pending` that wait for an earlier answer
+    AnswerAccount answers;           // the bytes in `pending` and in the output buffer
     Time last_active{0};             // when it last sent a command, or connected
     Time partial_since{0};           // when the command it is sending began; 0: it is not sending one
     bool used = false;               // has sent a command
@@ -148,6 +151,7 @@
   int accept_failures_ = 0;             // consecutive
   Time accept_queue_empty_at_{0};       // when the accept queue was last known to be empty; 0: it is empty
   Deadlines::Id accept_queue_drained_;  // after a pause: every connection that was queued is accepted
+  AnswerMemory answer_memory_;
   Slots<std::unique_ptr<Client>> clients_;
   Slots<Ticket> tickets_;
   IdleQueue idle_used_once_, idle_reused_;  // by Client::reused
--- a/tests/net/router_test.cpp
+++ b/tests/net/router_test.cpp
@@ -593,6 +593,8 @@
   REQUIRE(::kill(router.process.pid, SIGUSR1) == 0);
   CHECK(router.process.err.ReadUntil("clients=1 requests_in=0 turned_away=0 bad_commands=1 ").size() > 0);
   CHECK(router.process.err.ReadUntil("; now open: requests=0 clients=1 server_connections=0\n").size() > 0);
+  CHECK(router.process.err.ReadUntil("answer bytes: reserved=0 held=0 unsent=0 shared=0 highest=").size() >
+        0);
 }
 
 TEST_CASE("a bad server list is refused as a whole and logged, and the old one stays in use") {
