End the idle timeout of a client whose commands are not read for now

What clients saw: a client that had been idle, and then sent more commands at once than are begun at once, had its connection shut in the middle of its answers, and commands behind them were read and never answered, once an answer took longer than what was left of the idle timeout (4 s).

Cause: ReadCommands cancels the idle timeout by way of Advance, but returned before it where reading pauses. OnTimeout then closed the client as idle.

Ruled out: eviction (made_way=0).

Change: the pause sets the timeout anew, which is none while answers are due.

Measured: the new test, with the timeout at 0.2 s, failed before (the second command never reached a server, the connection ended) and passed 3 of 3 times after.

--- a/src/net/client_front_end.cpp
+++ b/src/net/client_front_end.cpp
@@ -208,6 +208,7 @@
     if (IsFull(client)) {
       client.read_paused = true;
       bufferevent_disable(client.buffer.get(), EV_READ);
+      SetTimeout(client);  // it is not idle any more
       return ScheduleCloseCheck(client);
     }
     std::size_t used = 0;
--- a/tests/net/connection_close_test.cpp
+++ b/tests/net/connection_close_test.cpp
@@ -124,6 +124,29 @@
   CHECK(server.Accept().ReadLine().starts_with("mg k4 v Oa4"));
 }
 
+// Guards against an idle timeout that still runs once a client has sent commands and is not read any more.
+TEST_CASE("a client that waits for answers is not idle, also while it is not read") {
+  Listener server, discovery;
+  InProcess router(
+      Router::Config(discovery.address(), ServerEntryJson("s1", server.address(), "in_service")),
+      [](Limits& l) {
+        l.max_pipeline = 1;
+        l.client_idle_timeout = 200ms;
+      });
+  Fd client = router.Connect();
+  client.Write("mn\r\n");
+  CHECK(client.ReadLine() == "MN\r\n");  // idle from now on
+  client.Write(ReadCommand("k1", "a1") + ReadCommand("k2", "a2"));
+  Fd attempt = server.Accept();
+  CHECK(attempt.ReadLine().starts_with("mg k1 v Oa1"));  // the other one waits behind it
+  std::this_thread::sleep_for(400ms);                    // longer than the timeout
+  attempt.Write("VA 1 Oa1\r\nx\r\n");
+  CHECK(client.ReadUntil("x\r\n") == "VA 1 Oa1\r\nx\r\n");
+  CHECK(attempt.ReadLine().starts_with("mg k2 v Oa2"));
+  attempt.Write("VA 1 Oa2\r\ny\r\n");
+  CHECK(client.ReadUntil("y\r\n") == "VA 1 Oa2\r\ny\r\n");
+}
+
 TEST_CASE("when a client keeps sending after quit and then closes, its attempts are closed") {
   Listener server, discovery;
   InProcess router(
