Account answers that wait in bytes, and begin a command only if its answer fits

Cause: commands that arrive together are all begun (115 of one connection) before the first answer; IsFull looked at the bytes of answers only before a further command. An answer behind an earlier one leaves the table of requests and stays whole in Pending::text, so that nothing bounds it. Beside it, AppendAnswer doubled the text's allocation with its last two bytes, and Flush copied it.

Ruled out: clients that do not read (unsent is the smaller part and is being taken), open requests (bounded, one value each).

Change: core/answer_memory.h. The next answer of a connection has an allowance of one answer that nothing else can use; all else is drawn from one memory over all clients, the 14% that the configuration always stated. A command behind another reserves a whole answer, or stays unread; streamed values ask for room and pause at their source. Why it works: every byte over an allowance is reserved before it comes, and belongs to a connection whose next answer needs none of it. Clients that wait for memory go on in order below a low watermark, and by their own answers. Long answers move into the output.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -69,8 +69,11 @@
   const auto sockets_per_side = static_cast<std::size_t>(std::max(4.0, (sockets - reserve) / 2));
   limits.max_server_connections = sockets_per_side;
   // Memory is divided by purpose, so that the worst case in all of them at once fits: 25% for commands
-  // being read, 36% for open requests (one and a half values each), 14% for answers that clients have not
-  // read yet, and the last 25% for the program, its tables and the allocator.
+  // being read, 36% for open requests (one and a half values each) or answers in their place, 14% for
+  // answers that wait for an earlier answer or for their client, and the last 25% for the program, its
+  // tables and the allocator. What one connection's next answer takes (core/answer_memory.h) is in the
+  // share of the open requests: while it is unsent, its connection has no open request that needs no
+  // reservation.
   const double memory = memory_mb * 1024 * 1024;
   const auto command_bytes = static_cast<double>(limits.max_value + 2 * limits.max_line);
   limits.max_clients = std::max<std::size_t>(
@@ -78,7 +81,9 @@
   limits.max_idle_clients = std::max<std::size_t>(8, static_cast<std::size_t>(sockets / 12));
   limits.max_idle_reused_clients = std::max(
       limits.max_idle_clients, std::min(static_cast<std::size_t>(sockets / 4), limits.max_clients / 2));
-  const double unsent_per_client = 0.14 * memory / static_cast<double>(limits.max_clients);
+  const double answer_memory = 0.14 * memory;
+  limits.max_answer_memory = static_cast<std::size_t>(answer_memory);
+  const double unsent_per_client = answer_memory / static_cast<double>(limits.max_clients);
   limits.max_unsent = static_cast<std::size_t>(std::clamp(
       unsent_per_client, static_cast<double>(limits.max_line), static_cast<double>(limits.max_unsent)));
   // 5% fewer requests than connections on either side, so that each request finds a connection to a server,
--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -136,7 +136,8 @@
 // The share of `whole` for one of `processes` processes that serve the same router side by side, as the old
 // and the new process do during a replacement. Guards against their holding more sockets together than one
 // process may: connections to servers and to clients are divided, and requests are limited to what those
-// connections can answer. Times and sizes are not divided.
+// connections can answer. The memory that all clients share is divided too; other sizes, and times, are
+// not.
 inline Limits LimitsPerProcess(const Limits& whole, std::size_t processes) {
   if (processes <= 1) return whole;
   Limits part = whole;
@@ -148,6 +149,7 @@
   part.max_requests = std::min(
       whole.max_requests,
       std::max<std::size_t>(1, std::min(part.max_server_connections, part.max_clients) * 95 / 100));
+  part.max_answer_memory = whole.max_answer_memory / processes;
   part.max_pipeline = std::min(whole.max_pipeline, std::max<std::size_t>(4, part.max_requests / 4));
   return part;
 }
--- a/src/core/answer_memory.h
+++ b/src/core/answer_memory.h
@@ -12,7 +12,9 @@
 #define BRASSWOOD_CORE_ANSWER_MEMORY_H_
 
 #include <cstddef>
+#include <functional>
 #include <ostream>
+#include <utility>
 
 #include "config/limits.h"
 
@@ -34,6 +36,13 @@
 
   const AnswerBytes& bytes() const { return bytes_; }
   std::size_t shared() const { return shared_; }  // bytes in use of the shared memory
+  // What is left of the shared memory, in bytes.
+  std::size_t Free() const;
+  // Whether another request may be begun behind an unanswered one.
+  bool HasRoom() const { return Free() >= limits_.AnswerSize(); }
+  // `call` is called whenever bytes were returned and the shared memory is below its low watermark. It must
+  // not change an account.
+  void OnRoom(std::function<void()> call) { on_room_ = std::move(call); }
   // The highest number of bytes that answers have held and left unsent at a time.
   std::size_t highest() const { return highest_; }
 
@@ -43,6 +52,7 @@
   std::size_t SharedBytes(const AnswerBytes& bytes) const;
 
   const Limits& limits_;
+  std::function<void()> on_room_;
   AnswerBytes bytes_;
   std::size_t shared_ = 0;
   std::size_t highest_ = 0;
@@ -61,9 +71,16 @@
   ~AnswerAccount() { Set({}); }
 
   const AnswerBytes& bytes() const { return bytes_; }
+  // Reserves memory for the answer of a request that is begun behind another one, until it is released.
+  void Reserve(std::size_t bytes) { Set({bytes_.reserved + bytes, bytes_.held, bytes_.unsent}); }
+  void Release(std::size_t bytes) { Set({bytes_.reserved - bytes, bytes_.held, bytes_.unsent}); }
   void AddHeld(std::size_t bytes) { Set({bytes_.reserved, bytes_.held + bytes, bytes_.unsent}); }
   void RemoveHeld(std::size_t bytes) { Set({bytes_.reserved, bytes_.held - bytes, bytes_.unsent}); }
   void SetUnsent(std::size_t bytes) { Set({bytes_.reserved, bytes_.held, bytes}); }
+  // How many bytes of a value that is streamed may be added now; 0: it pauses at its source. `is_next`:
+  // whether its answer is next in the order of the connection. Then it has room as soon as its client
+  // reads, whatever the others hold.
+  std::size_t StreamRoom(bool is_next) const;
   // No answer is due any more; what is unsent stays.
   void DropPending() { Set({0, 0, bytes_.unsent}); }
 
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -1,6 +1,7 @@
 #include "core/engine.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 #include <variant>
 
@@ -378,10 +379,11 @@
   if (!bytes.empty()) request->front->SendChunk(request->ticket, bytes);
 }
 
-std::size_t Engine::BufferedBytes(AttemptId id) const {
+std::size_t Engine::StreamRoom(AttemptId id) const {
   const Attempt* attempt = attempts_.Find(id);
   const Request* request = attempt == nullptr ? nullptr : requests_.Find(attempt->request);
-  return request == nullptr || request->ended ? 0 : request->front->BufferedBytes(request->ticket);
+  if (request == nullptr || request->ended) return std::numeric_limits<std::size_t>::max();
+  return request->front->StreamRoom(request->ticket);
 }
 
 // ---- The module's other actions ----
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -57,8 +57,9 @@
   // A chunk of the value. An empty chunk means that the client is still reading earlier chunks, so that the
   // pause does not count as the server being unresponsive.
   void StreamChunk(AttemptId attempt, std::string_view bytes);
-  // Bytes buffered for the client of this attempt's request; 0 if there is no such request.
-  std::size_t BufferedBytes(AttemptId attempt) const;
+  // How many bytes of this attempt's streamed value may be passed on now; 0: the back end pauses its
+  // connection. Unlimited if no request needs them any more.
+  std::size_t StreamRoom(AttemptId attempt) const;
   const Server* FindServer(ServerId id) const;
   // Whether the first byte of this attempt may be sent now on a connection to `endpoint`. The attempt was
   // approved when it was created, but a connection had to be established since. If it may not be sent, the
--- a/src/core/interfaces.h
+++ b/src/core/interfaces.h
@@ -63,8 +63,8 @@
   virtual void SendChunk(std::uint64_t ticket, std::string_view bytes) = 0;
   // Whether this ticket's client is still connected, as far as its connection shows.
   virtual bool IsConnected(std::uint64_t ticket) const = 0;
-  // Bytes of answers that are buffered for this ticket's client; each chunk adds to them.
-  virtual std::size_t BufferedBytes(std::uint64_t ticket) const = 0;
+  // How many bytes of this ticket's streamed value may be sent in chunks now. 0: its source pauses.
+  virtual std::size_t StreamRoom(std::uint64_t ticket) = 0;
 };
 
 // The result of an attempt: the reply in the decision module's terms, and its value or receipt.
--- a/src/net/attempt_pool.cpp
+++ b/src/net/attempt_pool.cpp
@@ -284,9 +284,10 @@
   evbuffer* in = bufferevent_get_input(connection.buffer.get());
   std::string piece;
   while (connection.value_left > 0 && evbuffer_get_length(in) > 0) {
-    if (engine_.BufferedBytes(attempt) > limits_.stream_window) return PauseForBackpressure(connection);
+    const std::size_t room = engine_.StreamRoom(attempt);
+    if (room == 0) return PauseForBackpressure(connection);
     const auto n = static_cast<std::size_t>(
-        std::min<std::uint64_t>({connection.value_left, evbuffer_get_length(in), kPiece}));
+        std::min<std::uint64_t>({connection.value_left, evbuffer_get_length(in), room, kPiece}));
     piece.resize(n);
     evbuffer_remove(in, piece.data(), n);
     connection.value_left -= n;
@@ -321,9 +322,9 @@
   engine_.AttemptEnded(attempt, std::move(end));
 }
 
-// Guards against a client that receives a value more slowly than the server sends it: past the window, the
-// server's connection is not read, so that TCP flow control holds the server back, until half of the window
-// was sent to the client. The backlog is checked again every 5 ms.
+// Guards against a client that receives a value more slowly than the server sends it: while its client's
+// answers have no room for more of the value, the server's connection is not read, so that TCP flow control
+// holds the server back. The room is checked again every 5 ms.
 void AttemptPool::PauseForBackpressure(Connection& connection) {
   bufferevent_disable(connection.buffer.get(), EV_READ);
   loop_.deadlines().Cancel(connection.deadline);
@@ -331,8 +332,7 @@
       loop_.deadlines().Set(loop_.Now() + std::chrono::milliseconds(5), [this, it = connection.self] {
         it->deadline = {};
         engine_.StreamChunk(it->operation.attempt, {});
-        if (engine_.BufferedBytes(it->operation.attempt) > limits_.stream_window / 2)
-          return PauseForBackpressure(*it);
+        if (engine_.StreamRoom(it->operation.attempt) == 0) return PauseForBackpressure(*it);
         bufferevent_enable(it->buffer.get(), EV_READ);
         StreamValue(*it);
       });
--- a/src/net/client_front_end.cpp
+++ b/src/net/client_front_end.cpp
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <stdexcept>
@@ -34,6 +35,7 @@
       listener_(nullptr, evconnlistener_free),
       answer_memory_(limits),
       shutdown_(limits) {
+  answer_memory_.OnRoom([this] { ScheduleResume(); });
   idle_used_once_.max_size = limits_.max_idle_clients;
   idle_reused_.max_size = limits_.max_idle_reused_clients;
   const auto at = ParseAddress(address);
@@ -191,10 +193,16 @@
   EvictIfFull();
 }
 
-// Whether no more commands of this client are read for now: too many are unanswered, or too many answer
-// bytes are unsent.
+bool ClientFrontEnd::HasAnswersDue(const Client& client) {
+  return !client.pending.empty() || client.answers.bytes().unsent != 0;
+}
+
+// Whether no more commands of this client are read for now: too many are unanswered, too many answer bytes
+// are unsent, or no memory is left for an answer that would have to wait. A client without any answer due
+// is never full.
 bool ClientFrontEnd::IsFull(const Client& client) const {
   return client.pending.size() >= limits_.max_pipeline ||
+         (HasAnswersDue(client) && !answer_memory_.HasRoom()) ||
          client.answers.bytes().held + client.answers.bytes().unsent >= limits_.max_unsent;
 }
 
@@ -205,12 +213,8 @@
   if (PeerClosed(bufferevent_getfd(client.buffer.get())))
     return Close(id, ClientEndReason::kClosedByClient);
   while (!client.closing) {
-    if (IsFull(client)) {
-      client.read_paused = true;
-      bufferevent_disable(client.buffer.get(), EV_READ);
-      SetTimeout(client);  // it is not idle any more
-      return ScheduleCloseCheck(client);
-    }
+    const bool input = evbuffer_get_length(bufferevent_get_input(client.buffer.get())) != 0;
+    if (input && IsFull(client)) return PauseReading(client);
     std::size_t used = 0;
     Command command;
     const Parsed got = ParseCommand(ContiguousInput(client.buffer.get()), limits_, used, command);
@@ -257,6 +261,39 @@
   Advance(id);
 }
 
+// Guards against commands that are begun although nothing can hold their answers: they stay in the kernel,
+// and TCP flow control holds their client back.
+void ClientFrontEnd::PauseReading(Client& client) {
+  client.read_paused = true;
+  bufferevent_disable(client.buffer.get(), EV_READ);
+  SetTimeout(client);  // it is not idle any more
+  ScheduleCloseCheck(client);
+  if (answer_memory_.HasRoom() || client.awaits_room) return;
+  client.awaits_room = true;
+  awaiting_room_.push_back(client.id);
+}
+
+// The caller may be changing a client's answers, so that reading goes on in a call of its own.
+void ClientFrontEnd::ScheduleResume() {
+  if (resume_due_ || awaiting_room_.empty()) return;
+  resume_due_ = true;
+  loop_.deadlines().Set(loop_.Now(), [this] { ResumeAwaitingRoom(); });
+}
+
+// Resumes the clients that wait for memory, in order, as long as there is room. Each of them also goes on
+// when its own answers are sent, so that none depends on this.
+void ClientFrontEnd::ResumeAwaitingRoom() {
+  resume_due_ = false;
+  while (!awaiting_room_.empty() && answer_memory_.HasRoom()) {
+    const std::uint64_t id = awaiting_room_.front();
+    awaiting_room_.pop_front();
+    auto* found = clients_.Find(id);
+    if (found == nullptr) continue;
+    (*found)->awaits_room = false;
+    if ((*found)->read_paused) Advance(id);
+  }
+}
+
 // The time at which the data being read arrived. Guards against answers that are sent after their client
 // has given up, because its command waited in the accept queue of a paused listener or while the process
 // was stopped. The times of the loop's polls bound the arrival; where they cannot, the kernel's time of the
@@ -285,6 +322,10 @@
   if (!shutdown_.AcceptsWork(loop_.Now())) return RefuseRequest(client, request.content->id);
   Pending pending;
   pending.id = request.content->id;
+  if (HasAnswersDue(client)) {
+    pending.reserved = request.content->write ? limits_.max_line : limits_.AnswerSize();
+    client.answers.Reserve(pending.reserved);
+  }
   const std::uint64_t number = client.first_number + client.pending.size();
   client.pending.push_back(std::move(pending));
   const std::uint64_t ticket = tickets_.Add({client.id, number});
@@ -334,6 +375,7 @@
   if (pending == nullptr) return;
   counters_.invariants.Expect(!pending->answered, Invariant::kAnsweredOnce, pending->id);
   pending->ticket = 0;
+  client->answers.Release(std::exchange(pending->reserved, 0));
   const std::size_t before = pending->text.size();
   if (!pending->streaming) {
     AppendAnswer(pending->text, pending->id, answer, limits_);
@@ -352,7 +394,11 @@
   Client* client = nullptr;
   Pending* pending = FindPending(ticket, client);
   if (pending == nullptr || pending->streaming || pending->answered) return;
+  client->answers.Release(std::exchange(pending->reserved, 0));  // from here on, StreamRoom bounds it
   const std::size_t before = pending->text.size();
+  // Guards against an allocation that doubles with each chunk of a value that has to wait.
+  if (pending != &client->pending.front())
+    pending->text.reserve(limits_.max_line + std::min(length, limits_.stream_window));
   pending->text.append("VA ")
       .append(std::to_string(length))
       .append(" O")
@@ -378,12 +424,26 @@
   return found != nullptr && !PeerClosed(bufferevent_getfd((*found)->buffer.get()));
 }
 
-std::size_t ClientFrontEnd::BufferedBytes(std::uint64_t ticket) const {
-  const Ticket* to = tickets_.Find(ticket);
-  if (to == nullptr) return 0;
-  const auto* found = clients_.Find(to->client);
-  if (found == nullptr) return 0;
-  return (*found)->answers.bytes().held + (*found)->answers.bytes().unsent;
+std::size_t ClientFrontEnd::StreamRoom(std::uint64_t ticket) {
+  Client* client = nullptr;
+  const Pending* pending = FindPending(ticket, client);
+  if (pending == nullptr) return limits_.stream_window;  // nobody waits for it: what is sent is dropped
+  return client->answers.StreamRoom(pending == &client->pending.front());
+}
+
+// Appends `text` to the output. Guards against a long answer that is in memory twice, in the text and in
+// the buffer: the buffer takes it over. A short one is copied, which costs less.
+void ClientFrontEnd::Write(bufferevent& to, std::string text) {
+  constexpr std::size_t kMaxCopied = 4096;
+  evbuffer* out = bufferevent_get_output(&to);
+  if (text.size() <= kMaxCopied) {
+    evbuffer_add(out, text.data(), text.size());
+    return;
+  }
+  auto owned = std::make_unique<std::string>(std::move(text));
+  const auto free_text = [](const void*, std::size_t, void* p) { delete static_cast<std::string*>(p); };
+  if (evbuffer_add_reference(out, owned->data(), owned->size(), free_text, owned.get()) == 0)
+    owned.release();
 }
 
 // Sends the answers that are available, as far as the order of the commands allows. What follows from an
@@ -394,8 +454,7 @@
          (client.pending.front().answered || client.pending.front().streaming)) {
     Pending& front = client.pending.front();
     client.answers.RemoveHeld(front.text.size());
-    bufferevent_write(client.buffer.get(), front.text.data(), front.text.size());
-    front.text.clear();
+    Write(*client.buffer, std::exchange(front.text, {}));
     if (!front.answered) break;  // the rest of its value has not arrived
     const bool truncated = front.truncated;
     client.pending.pop_front();
--- a/src/net/client_front_end.h
+++ b/src/net/client_front_end.h
@@ -32,7 +32,7 @@
   void StartStream(std::uint64_t ticket, std::size_t length) override;
   void SendChunk(std::uint64_t ticket, std::string_view bytes) override;
   bool IsConnected(std::uint64_t ticket) const override;
-  std::size_t BufferedBytes(std::uint64_t ticket) const override;
+  std::size_t StreamRoom(std::uint64_t ticket) override;
 
   // Begins the graceful shutdown (core/shutdown.h): each connection closes when it becomes idle, the
   // listener closes at the last moment for new work, and `done` is called once nothing is left to answer or
@@ -67,8 +67,9 @@
     std::uint64_t ticket = 0;  // set while the engine still has to answer; otherwise 0
     std::string id;
     bool answered = false;
-    bool streaming = false;  // a streamed value: what `text` holds may be sent before the rest arrives
-    bool truncated = false;  // a streamed value that cannot be completed
+    bool streaming = false;    // a streamed value: what `text` holds may be sent before the rest arrives
+    bool truncated = false;    // a streamed value that cannot be completed
+    std::size_t reserved = 0;  // bytes reserved for its answer while it is not answered
     std::string text;
   };
   struct Client {
@@ -89,6 +90,7 @@
     ClientEndReason close_reason = ClientEndReason::kClosedByClient;  // of a client that is closing
     bool write_shut = false;    // everything is answered and the sending side was shut
     bool read_paused = false;   // not read until some of its answers were sent
+    bool awaits_room = false;   // in awaiting_room_
     bool read_resumed = false;  // data read now may have waited for the client's own answers
     bool advance_due = false;   // a call of Advance is scheduled
     bool cut_off = false;       // a value was truncated: nothing more is sent, the rest is cancelled
@@ -116,9 +118,14 @@
   void StartRequest(Client& client, RequestContent content);
   Time ArrivalTime(const Client& client);
   void Reply(Client& client, std::string text);
+  static void Write(bufferevent& to, std::string text);
   void Flush(Client& client);
   Pending* FindPending(std::uint64_t ticket, Client*& client);
+  static bool HasAnswersDue(const Client& client);
   bool IsFull(const Client& client) const;
+  void PauseReading(Client& client);
+  void ScheduleResume();
+  void ResumeAwaitingRoom();
   void Advance(std::uint64_t id);
   void AdvanceAll();
   void ScheduleCloseCheck(Client& client);
@@ -152,6 +159,10 @@
   Time accept_queue_empty_at_{0};       // when the accept queue was last known to be empty; 0: it is empty
   Deadlines::Id accept_queue_drained_;  // after a pause: every connection that was queued is accepted
   AnswerMemory answer_memory_;
+  // Clients that are not read because the shared memory for answers is used up, in the order in which they
+  // go on. Some may have gone, or have gone on for other reasons.
+  std::deque<std::uint64_t> awaiting_room_;
+  bool resume_due_ = false;  // a call of ResumeAwaitingRoom is scheduled
   Slots<std::unique_ptr<Client>> clients_;
   Slots<Ticket> tickets_;
   IdleQueue idle_used_once_, idle_reused_;  // by Client::reused
--- a/src/protocol/meta.cpp
+++ b/src/protocol/meta.cpp
@@ -138,6 +138,9 @@
 }
 
 void AppendAnswer(std::string& out, std::string_view id, const Answer& answer, const Limits& limits) {
+  // Guards against an allocation that doubles with the last bytes: large answers may wait in memory.
+  constexpr std::size_t kMaxFraming = 64;
+  out.reserve(out.size() + answer.body.size() + id.size() + kMaxFraming);
   switch (answer.kind) {
     case AnswerKind::kValue:
       out.append("VA ").append(std::to_string(answer.body.size())).append(" O").append(id);
--- a/tests/net/admin_test.cpp
+++ b/tests/net/admin_test.cpp
@@ -456,6 +456,7 @@
   CHECK(half.max_requests <= half.max_clients);
   CHECK(half.max_idle_clients <= half.max_clients);
   CHECK(half.max_idle_reused_clients <= half.max_clients);
+  CHECK(half.max_answer_memory + half.max_answer_memory <= whole.max_answer_memory);
   CHECK(half.max_value == whole.max_value);  // sizes and times are not divided
   CHECK(half.command_timeout == whole.command_timeout);
   Limits tiny;
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -78,7 +78,7 @@
   void StartStream(std::uint64_t ticket, std::size_t length) override { opened[ticket] = length; }
   void SendChunk(std::uint64_t ticket, std::string_view bytes) override { pieces[ticket].append(bytes); }
   bool IsConnected(std::uint64_t ticket) const override { return !gone.contains(ticket); }
-  std::size_t BufferedBytes(std::uint64_t ticket) const override { return pieces.contains(ticket) ? 1 : 0; }
+  std::size_t StreamRoom(std::uint64_t ticket) override { return pieces.contains(ticket) ? 1 : 0; }
   void Start(AttemptId attempt, ServerId to, std::shared_ptr<const RequestContent>, Time,
              Time by) override {
     attempts.push_back({attempt, to});
@@ -503,7 +503,7 @@
   CHECK_FALSE(w.engine->StreamStarted(attempt, 5));  // only once
   w.engine->StreamChunk(attempt, "abc");
   CHECK(w.ends.pieces[1] == "abc");
-  CHECK(w.engine->BufferedBytes(attempt) == 1);
+  CHECK(w.engine->StreamRoom(attempt) == 1);
   w.engine->AttemptEnded(attempt, {Result::kReset, {}, {}, {}});  // the server closed the connection
   CHECK(w.ends.answers[1] == std::vector{AnswerKind::kFailed});
   CHECK(w.ends.attempts.size() == 1);  // no retry: part of the value was already sent
--- a/tests/net/parsers_test.cpp
+++ b/tests/net/parsers_test.cpp
@@ -446,7 +446,18 @@
     const Limits l = ReadConfig(sized, "", "", "").limits;
     const std::size_t worst = l.max_clients * (l.max_value + 2 * l.max_line + l.max_unsent) +
                               l.max_requests * l.max_value * 3 / 2;
-    CHECK(worst < std::size_t{memory} * 1024 * 1024 * 4 / 5);
+    const std::size_t available = std::size_t{memory} * 1024 * 1024 * 4 / 5;
+    CHECK(worst < available);
+    // A connection whose next answer is unsent begins no request without a reservation: either nearly all
+    // connections have an open request, or all have an unsent answer, and open requests have a reservation.
+    const std::size_t commands = l.max_clients * (l.max_value + 2 * l.max_line);
+    const std::size_t reservations = l.max_answer_memory / l.AnswerSize();
+    CHECK(commands + l.max_requests * l.max_value * 3 / 2 +
+              (l.max_clients - l.max_requests) * l.AnswerSize() + l.max_answer_memory <
+          available);
+    CHECK(commands + l.max_clients * l.AnswerSize() + l.max_answer_memory + reservations * l.max_value / 2 <
+          available);
+    CHECK(reservations > l.max_pipeline);                           // one client leaves room to others
     CHECK(l.max_clients >= static_cast<std::size_t>(sockets) / 3);  // enough for ordinary clients
     CHECK(l.max_pipeline <= l.max_requests / 4);
   }
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -274,12 +274,13 @@
   Listener discovery, origin;
   Process process;
 
-  static std::string Config(const std::string& discovery, const std::string& targets, int sockets = 256) {
+  static std::string Config(const std::string& discovery, const std::string& targets, int sockets = 256,
+                            int memory_mb = 192) {
     const std::string klass = R"("aim":5000000000,"give_up":10000000000,"points":1,"dedup_scope":"all",)"
                               R"("window":5000000000)";
     return R"({"name":"n1","listen":"127.0.0.1:0","discovery":")" + discovery + R"(","seed":"1",)" +
-           R"("limits":{"memory_mb":192,"sockets":)" + std::to_string(sockets) + R"(},"known":)" +
-           ServerListJson(1, true, targets) +
+           R"("limits":{"memory_mb":)" + std::to_string(memory_mb) + R"(,"sockets":)" +
+           std::to_string(sockets) + R"(},"known":)" + ServerListJson(1, true, targets) +
            R"(,"settings":{"balancers":1,"zones":["a"],"shapes":["m1","origin"],"registry_mode":"on_request",)" +
            R"("family_info":{"mode":"aside","origin_kind":1},"classes":[{"name":"read","effect":"free",)" +
            klass + R"(},{"name":"publish","effect":"single_shot",)" + klass + R"(}],)" +
@@ -288,10 +289,10 @@
            R"("safety":{"drain_grace":1000000000,"ask_within":10000000000,"cold_from":0.1,)" +
            R"("ramp_time":60000000000,"fall_multiple":4,"fall":2000000000}}})";
   }
-  explicit Router(const std::string& targets, int sockets = 256) {
+  explicit Router(const std::string& targets, int sockets = 256, int memory_mb = 192) {
     const std::string with_origin = targets + (targets.empty() ? "" : ",") +
                                     ServerEntryJson("o1", origin.address(), "in_service", 0, "origin");
-    process = Start(Config(discovery.address(), with_origin, sockets), discovery.address());
+    process = Start(Config(discovery.address(), with_origin, sockets, memory_mb), discovery.address());
   }
   Fd Connect() const { return ConnectTo(process.listen); }
 };
