Refuse an HTTP answer whose chunked coding exceeds what a value needs

Trailers, or extensions of tiny chunks, that never end were kept in the connection's input until the attempt's deadline, and parsed anew from the start with each piece.

Ruled out: lines without end (4 KiB), heads and interim answers (16 KiB each, eight), lengths that lie (max_value).

Change: HttpAnswerReader counts what is not body; over one head's size plus 8 bytes for each byte of body the answer is bad. A chunk of one byte takes 5. The new cases of 'HTTP answers' failed before (kMore for trailers without end); chunks of one byte are accepted as before.

--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -15,6 +15,9 @@
 
 // The maximum size in bytes of a chunk's size line with its extensions, or of a trailer line.
 constexpr std::size_t kMaxChunkLine = 4096;
+// The maximum number of bytes of the chunked coding for each byte of the body, beside one head's size for
+// trailers and extensions. A chunk of one byte takes 5, and more with a padded size or an extension.
+constexpr std::size_t kMaxFramingPerByte = 8;
 
 // The path for a key, with the bytes that a path cannot contain percent-encoded.
 std::string KeyPath(std::string_view key) {
@@ -227,8 +230,18 @@
   bytes = {};
 }
 
+// Guards against trailers, or extensions of tiny chunks, that never end: what has arrived of an answer is
+// kept until it is complete.
+bool HttpAnswerReader::FramingExceeded() const {
+  return framing_ > limits_.max_http_head + kMaxFramingPerByte * answer_.body.size();
+}
+
 // Reads a chunk's size line, the CRLF after its data, or a trailer line.
 void HttpAnswerReader::ReadChunkLine(std::string_view& bytes) {
+  if (FramingExceeded()) {
+    state_ = State::kBad;
+    return;
+  }
   const std::size_t before = line_.size();
   line_.append(bytes.substr(0, kMaxChunkLine + 2));
   const std::string_view line_end = "\r\n";
@@ -243,6 +256,7 @@
     return;
   }
   bytes.remove_prefix(end + 2 - before);
+  framing_ += end + 2;
   const std::string line = line_.substr(0, end);
   line_.clear();
   if (state_ == State::kTrailer) {
--- a/src/protocol/http.h
+++ b/src/protocol/http.h
@@ -68,6 +68,7 @@
   void ReadCounted(std::string_view& bytes);
   void ReadToClose(std::string_view& bytes);
   void ReadChunkLine(std::string_view& bytes);
+  bool FramingExceeded() const;
   void StartChunk(std::string_view size_line);
 
   std::size_t max_body_;
@@ -77,6 +78,7 @@
   HttpAnswer answer_;
   std::string line_;             // the head, or a line of the chunked coding, as far as it has arrived
   std::uint64_t body_left_ = 0;  // bytes of the body or of the chunk still to be received
+  std::size_t framing_ = 0;      // bytes of the chunked coding that are not part of the body
   std::size_t surplus_ = 0;
 };
 
--- a/tests/net/parsers_test.cpp
+++ b/tests/net/parsers_test.cpp
@@ -236,12 +236,19 @@
     InputEnd end = InputEnd::kOpen;
   };
   const std::string no_length = "HTTP/1.1 200 OK\r\n\r\n";
+  std::string one_byte_chunks, many_trailers;
+  for (int i = 0; i < 40; ++i) one_byte_chunks += "1\r\nx\r\n";
+  for (std::size_t i = 0; i < kLimits.max_http_head; ++i) many_trailers += "A: b\r\n";
   const std::vector<Case> cases = {
       {Sized("200 OK", "abc"), Parsed::kDone, 200, "abc"},
       {Sized("503 Busy", "", "x-turned-away: 1\r\n"), Parsed::kDone, 503},
       {Sized("200 OK", "abc", "Connection: Close\r\n"), Parsed::kDone, 200, "abc", false},
       {Chunked("3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n"), Parsed::kDone, 200, "abcde"},
       {Chunked("0\r\nTrailer: x\r\n\r\n"), Parsed::kDone, 200, ""},
+      {Chunked(one_byte_chunks + "0\r\n\r\n"), Parsed::kDone, 200, std::string(40, 'x')},
+      // More framing than a value needs: it may never end, and would be kept until its attempt does.
+      {Chunked("1\r\nx\r\n0\r\n" + many_trailers), Parsed::kBad},
+      {Chunked("1;" + std::string(2 * kLimits.max_http_head, 'y') + "\r\nx\r\n"), Parsed::kBad},
       {Chunked("zz\r\n"), Parsed::kBad},
       {Chunked("3\r\nabcde\r\n"), Parsed::kBad},
       {Chunked("29\r\n"), Parsed::kBad},  // past the largest value
