Part the files that the work touched by their jobs

The end of a connection's use after an answer, which stood in HandleAnswer and in FinishStreaming, is AttemptPool::Release. Behaviour is unchanged.

--- a/src/net/attempt_pool.cpp
+++ b/src/net/attempt_pool.cpp
@@ -9,8 +9,6 @@
 
 #include "base/log.h"
 #include "protocol/address.h"
-#include "protocol/http.h"
-#include "protocol/meta.h"
 
 namespace brasswood {
 
@@ -235,109 +233,11 @@
   loop_.deadlines().Cancel(connection.deadline);
   evbuffer_drain(bufferevent_get_input(connection.buffer.get()), used);
   const AttemptId attempt = connection.operation.attempt;
-  const bool whole =
-      FullySent(connection) && evbuffer_get_length(bufferevent_get_input(connection.buffer.get())) == 0;
-  if (keep && whole && input == InputEnd::kOpen) {
-    MakeIdle(connection);
-  } else {
-    CloseConnection(connection);
-  }
+  Release(connection, keep && input == InputEnd::kOpen);
   engine_.AttemptEnded(attempt, std::move(end));
   return Parsed::kDone;
 }
 
-// Starts streaming a large value to the client instead of buffering it: otherwise a slow server that writes
-// in small pieces would keep the client waiting for the whole value, and memory would hold all of it. Only
-// the head is made contiguous here, not what follows it. Returns true if the answer is being streamed or
-// has ended the attempt.
-bool AttemptPool::TryStartStreaming(Connection& connection) {
-  evbuffer* in = bufferevent_get_input(connection.buffer.get());
-  const std::size_t have = evbuffer_get_length(in);
-  const std::size_t head_size = std::min(have, limits_.max_http_head + limits_.max_line + 8);
-  const std::string_view front(
-      reinterpret_cast<const char*>(evbuffer_pullup(in, static_cast<ev_ssize_t>(head_size))), head_size);
-  std::size_t used = 0, trailer = 0;
-  AttemptResult head;
-  std::optional<std::uint64_t> length;
-  bool keep = true;
-  const Parsed got = ParseHead(front, connection.operation, used, head, length, trailer, keep);
-  if (got != Parsed::kDone || !length || *length <= limits_.max_value) return false;  // read it whole
-  evbuffer_drain(in, used);
-  loop_.deadlines().Cancel(connection.deadline);
-  connection.streaming = true;
-  connection.value_left = *length;
-  connection.trailer = trailer;
-  connection.keep = keep;
-  connection.streamed_end = std::move(head);
-  const AttemptId attempt = connection.operation.attempt;
-  if (!engine_.StreamStarted(attempt, static_cast<std::size_t>(*length))) {
-    if (busy_.contains(attempt)) CloseWithResult(connection, Result::kCancelled);
-    return true;
-  }
-  if (busy_.contains(attempt)) StreamValue(connection);
-  return true;
-}
-
-void AttemptPool::StreamValue(Connection& connection) {
-  constexpr std::size_t kPiece = 64 * 1024;
-  const AttemptId attempt = connection.operation.attempt;
-  evbuffer* in = bufferevent_get_input(connection.buffer.get());
-  std::string piece;
-  while (connection.value_left > 0 && evbuffer_get_length(in) > 0) {
-    const std::size_t room = engine_.StreamRoom(attempt);
-    if (room == 0) return PauseForBackpressure(connection);
-    const auto n = static_cast<std::size_t>(
-        std::min<std::uint64_t>({connection.value_left, evbuffer_get_length(in), room, kPiece}));
-    piece.resize(n);
-    evbuffer_remove(in, piece.data(), n);
-    connection.value_left -= n;
-    engine_.StreamChunk(attempt, piece);
-    if (!busy_.contains(attempt)) return;  // abandoned meanwhile, and its connection closed
-  }
-  if (connection.value_left > 0 || evbuffer_get_length(in) < connection.trailer) return;
-  if (connection.trailer > 0) {
-    const std::string_view end(
-        reinterpret_cast<const char*>(evbuffer_pullup(in, static_cast<ev_ssize_t>(connection.trailer))),
-        connection.trailer);
-    if (end != std::string_view("\r\n").substr(0, connection.trailer))
-      return CloseWithResult(connection, Result::kMalformed);
-    evbuffer_drain(in, connection.trailer);
-  }
-  FinishStreaming(connection);
-}
-
-void AttemptPool::FinishStreaming(Connection& connection) {
-  const AttemptId attempt = connection.operation.attempt;
-  AttemptResult end = std::move(connection.streamed_end);
-  end.result = Result::kOk;
-  end.streamed = true;
-  connection.streaming = false;
-  const bool whole =
-      FullySent(connection) && evbuffer_get_length(bufferevent_get_input(connection.buffer.get())) == 0;
-  if (connection.keep && whole) {
-    MakeIdle(connection);
-  } else {
-    CloseConnection(connection);
-  }
-  engine_.AttemptEnded(attempt, std::move(end));
-}
-
-// Guards against a client that receives a value more slowly than the server sends it: while its client's
-// answers have no room for more of the value, the server's connection is not read, so that TCP flow control
-// holds the server back. The room is checked again every 5 ms.
-void AttemptPool::PauseForBackpressure(Connection& connection) {
-  bufferevent_disable(connection.buffer.get(), EV_READ);
-  loop_.deadlines().Cancel(connection.deadline);
-  connection.deadline =
-      loop_.deadlines().Set(loop_.Now() + std::chrono::milliseconds(5), [this, it = connection.self] {
-        it->deadline = {};
-        engine_.StreamChunk(it->operation.attempt, {});
-        if (engine_.StreamRoom(it->operation.attempt) == 0) return PauseForBackpressure(*it);
-        bufferevent_enable(it->buffer.get(), EV_READ);
-        StreamValue(*it);
-      });
-}
-
 // Guards against an answer that states a larger length than is sent: nothing else would detect it before
 // the request's deadline, while a retry may still serve the request. If unread data waits in the kernel, it
 // is read first.
@@ -350,6 +250,17 @@
   });
 }
 
+// Ends the use of a connection whose answer is complete. It is reused only if the answer allows it, the
+// operation was sent whole, and nothing followed the answer.
+void AttemptPool::Release(Connection& connection, bool reusable) {
+  const bool input_empty = evbuffer_get_length(bufferevent_get_input(connection.buffer.get())) == 0;
+  if (reusable && input_empty && FullySent(connection)) {
+    MakeIdle(connection);
+  } else {
+    CloseConnection(connection);
+  }
+}
+
 void AttemptPool::MakeIdle(Connection& connection) {
   // Guards against a server that moved or was removed while this connection was in use: its next attempt
   // must not be sent to the old address.
@@ -434,53 +345,4 @@
   return false;
 }
 
-// ---- The two protocols ----
-
-std::string CacheServerPool::Format(const Operation& operation, const Server&, Duration left) const {
-  if (!operation.request) return operation.load ? "stats load\r\n" : "mn\r\n";
-  return WriteAttempt(*operation.request, left);
-}
-
-Parsed CacheServerPool::ParseHead(std::string_view in, const Operation& operation, std::size_t& used,
-                                  AttemptResult& end, std::optional<std::uint64_t>& length,
-                                  std::size_t& trailer, bool&) const {
-  trailer = 2;
-  return ParseAttemptHead(in, *operation.request, limits(), used, end, length);
-}
-
-Parsed CacheServerPool::Parse(std::string_view in, const Operation& operation, InputEnd, std::size_t& used,
-                              AttemptResult& end, bool&) const {
-  if (!operation.request) return ParseProbeReply(in, operation.load, limits(), used, end);
-  return ParseAttemptReply(in, *operation.request, limits(), used, end);
-}
-
-std::string OriginClient::Format(const Operation& operation, const Server& server, Duration left) const {
-  if (!operation.request) return WriteGet(server.endpoint, operation.load ? "/-/load" : "/-/healthy");
-  return WriteOriginAttempt(server.endpoint, *operation.request, left);
-}
-
-Parsed OriginClient::ParseHead(std::string_view in, const Operation&, std::size_t& used, AttemptResult& end,
-                               std::optional<std::uint64_t>& length, std::size_t& trailer,
-                               bool& keep) const {
-  HttpAnswer answer;
-  trailer = 0;
-  const Parsed got = ParseHttpHead(in, limits(), used, answer, length);
-  if (got != Parsed::kDone) return got;
-  if (answer.status != 200) length.reset();  // only a value is streamed
-  keep = answer.keep_alive;
-  end = ReadOriginProbe(answer);
-  return got;
-}
-
-Parsed OriginClient::Parse(std::string_view in, const Operation& operation, InputEnd input,
-                           std::size_t& used, AttemptResult& end, bool& keep) const {
-  HttpAnswer answer;
-  const Parsed got = ParseHttpAnswer(in, limits().max_value, limits(), input, used, answer);
-  if (got != Parsed::kDone) return got;
-  keep = answer.keep_alive;
-  end =
-      operation.request ? ReadOriginAnswer(std::move(answer), *operation.request) : ReadOriginProbe(answer);
-  return got;
-}
-
 }  // namespace brasswood
--- a/src/net/attempt_pool.h
+++ b/src/net/attempt_pool.h
@@ -103,6 +103,7 @@
   void SetAnswerDeadline(Connection& connection, Duration wait);
   void OnEvent(Connection& connection, short what);
   bool HandleLastAnswer(Connection& connection, short what);
+  void Release(Connection& connection, bool reusable);
   void MakeIdle(Connection& connection);
   // Closes the connection and ends its operation, if it has one, with `result`.
   void CloseWithResult(Connection& connection, beechledge::Result result);
--- /dev/null
+++ b/src/net/client_answers.cpp
@@ -0,0 +1,137 @@
+// The answers of a client connection: in the order of its commands, streamed values in chunks, each byte on
+// its account (core/answer_memory.h).
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "net/client_front_end.h"
+#include "protocol/meta.h"
+
+namespace brasswood {
+
+void ClientFrontEnd::Reply(Client& client, std::string text) {
+  client.answers.AddHeld(text.size());
+  Pending pending;
+  pending.answered = true;
+  pending.text = std::move(text);
+  client.pending.push_back(std::move(pending));
+  Flush(client);
+}
+
+ClientFrontEnd::Pending* ClientFrontEnd::FindPending(std::uint64_t ticket, Client*& client) {
+  const Ticket* to = tickets_.Find(ticket);
+  if (to == nullptr) return nullptr;
+  auto* found = clients_.Find(to->client);
+  if (found == nullptr) return nullptr;
+  client = found->get();
+  if (to->number < client->first_number || to->number - client->first_number >= client->pending.size())
+    return nullptr;  // cancelled
+  return &client->pending[to->number - client->first_number];
+}
+
+void ClientFrontEnd::Deliver(std::uint64_t ticket, const Answer& answer) {
+  Client* client = nullptr;
+  Pending* pending = FindPending(ticket, client);
+  tickets_.Remove(ticket);
+  if (pending == nullptr) return;
+  counters_.invariants.Expect(!pending->answered, Invariant::kAnsweredOnce, pending->id);
+  pending->ticket = 0;
+  client->answers.Release(std::exchange(pending->reserved, 0));
+  const std::size_t before = pending->text.size();
+  if (!pending->streaming) {
+    AppendAnswer(pending->text, pending->id, answer, limits_);
+  } else if (answer.kind == AnswerKind::kValue) {
+    pending->text.append("\r\n");
+  } else {
+    pending->truncated = true;
+  }
+  pending->answered = true;
+  pending->request = 0;
+  client->answers.AddHeld(pending->text.size() - before);
+  Flush(*client);
+}
+
+void ClientFrontEnd::StartStream(std::uint64_t ticket, std::size_t length) {
+  Client* client = nullptr;
+  Pending* pending = FindPending(ticket, client);
+  if (pending == nullptr || pending->streaming || pending->answered) return;
+  client->answers.Release(std::exchange(pending->reserved, 0));  // from here on, StreamRoom bounds it
+  const std::size_t before = pending->text.size();
+  // Guards against an allocation that doubles with each chunk of a value that has to wait.
+  if (pending != &client->pending.front())
+    pending->text.reserve(limits_.max_line + std::min(length, limits_.stream_window));
+  pending->text.append("VA ")
+      .append(std::to_string(length))
+      .append(" O")
+      .append(pending->id)
+      .append("\r\n");
+  pending->streaming = true;
+  client->answers.AddHeld(pending->text.size() - before);
+  Flush(*client);
+}
+
+void ClientFrontEnd::SendChunk(std::uint64_t ticket, std::string_view bytes) {
+  Client* client = nullptr;
+  Pending* pending = FindPending(ticket, client);
+  if (pending == nullptr || !pending->streaming || pending->answered) return;
+  pending->text.append(bytes);
+  client->answers.AddHeld(bytes.size());
+  Flush(*client);
+}
+
+bool ClientFrontEnd::IsConnected(std::uint64_t ticket) const {
+  const Ticket* to = tickets_.Find(ticket);
+  const auto* found = to == nullptr ? nullptr : clients_.Find(to->client);
+  return found != nullptr && !PeerClosed(bufferevent_getfd((*found)->buffer.get()));
+}
+
+std::size_t ClientFrontEnd::StreamRoom(std::uint64_t ticket) {
+  Client* client = nullptr;
+  const Pending* pending = FindPending(ticket, client);
+  if (pending == nullptr) return limits_.stream_window;  // nobody waits for it: what is sent is dropped
+  return client->answers.StreamRoom(pending == &client->pending.front());
+}
+
+// Appends `text` to the output. Guards against a long answer that is in memory twice, in the text and in
+// the buffer: the buffer takes it over. A short one is copied, which costs less.
+void ClientFrontEnd::Write(bufferevent& to, std::string text) {
+  constexpr std::size_t kMaxCopied = 4096;
+  evbuffer* out = bufferevent_get_output(&to);
+  if (text.size() <= kMaxCopied) {
+    evbuffer_add(out, text.data(), text.size());
+    return;
+  }
+  auto owned = std::make_unique<std::string>(std::move(text));
+  const auto free_text = [](const void*, std::size_t, void* p) { delete static_cast<std::string*>(p); };
+  if (evbuffer_add_reference(out, owned->data(), owned->size(), free_text, owned.get()) == 0)
+    owned.release();
+}
+
+// Sends the answers that are available, as far as the order of the commands allows. What follows from an
+// answer (reading further, closing) is scheduled as a separate call of Advance, because the engine may be
+// the caller here and must not be re-entered.
+void ClientFrontEnd::Flush(Client& client) {
+  while (!client.cut_off && !client.pending.empty() &&
+         (client.pending.front().answered || client.pending.front().streaming)) {
+    Pending& front = client.pending.front();
+    client.answers.RemoveHeld(front.text.size());
+    Write(*client.buffer, std::exchange(front.text, {}));
+    if (!front.answered) break;  // the rest of its value has not arrived
+    const bool truncated = front.truncated;
+    client.pending.pop_front();
+    ++client.first_number;
+    // Guards against a truncated value that is read as complete, or with the next answer as its rest: the
+    // client sees the connection end where the value stops.
+    if (truncated) {
+      client.cut_off = true;
+      MarkClosing(client, ClientEndReason::kValueTruncated);
+    }
+  }
+  if ((client.read_paused || client.closing || shutdown_.begun() || draining_) && !client.advance_due) {
+    client.advance_due = true;
+    loop_.deadlines().Set(loop_.Now(), [this, id = client.id] { Advance(id); });
+  }
+}
+
+}  // namespace brasswood
