Hold only the bytes of an answer while it waits, without its request's id

Cause: Pending::id was kept until the answer was sent, on no account (115 ids of one connection, 0.4 MB); and since AppendAnswer allocated room for the id in refusals, which do not contain it.

Clearing by assignment from an empty string frees nothing in libstdc++ (seen: 57 MB still).

Change: the id is given back with the answer; room is allocated for values only.

--- a/src/net/client_answers.cpp
+++ b/src/net/client_answers.cpp
@@ -48,6 +48,7 @@
   }
   pending->answered = true;
   pending->request = 0;
+  std::string().swap(pending->id);  // it may be long, and is not on the account
   client->answers.AddHeld(pending->text.size() - before);
   Flush(*client);
 }
--- a/src/protocol/meta.cpp
+++ b/src/protocol/meta.cpp
@@ -137,12 +137,15 @@
   return error;
 }
 
+// The bytes of a value's answer beside its id and the value: "VA ", a length of up to 20 digits, " O" and
+// two CRLF.
+constexpr std::size_t kMaxValueFraming = 3 + 20 + 2 + 4;
+
 void AppendAnswer(std::string& out, std::string_view id, const Answer& answer, const Limits& limits) {
-  // Guards against an allocation that doubles with the last bytes: large answers may wait in memory.
-  constexpr std::size_t kMaxFraming = 64;
-  out.reserve(out.size() + answer.body.size() + id.size() + kMaxFraming);
   switch (answer.kind) {
     case AnswerKind::kValue:
+      // Guards against an allocation that doubles with the last bytes: large answers may wait in memory.
+      out.reserve(out.size() + id.size() + answer.body.size() + kMaxValueFraming);
       out.append("VA ").append(std::to_string(answer.body.size())).append(" O").append(id);
       out.append("\r\n").append(answer.body);
       break;
--- a/tests/net/answer_memory_test.cpp
+++ b/tests/net/answer_memory_test.cpp
@@ -2,6 +2,8 @@
 // many commands at once.
 #include "core/answer_memory.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
@@ -12,11 +14,15 @@
 #include <thread>
 #include <vector>
 
+#include "in_process.h"
 #include "world.h"
 
 using namespace brasswood;
 using namespace brasswood::testing;
 
+// Of the address sanitizer, which replaces the allocator that mallinfo2 describes; null without it.
+extern "C" std::size_t __sanitizer_get_current_allocated_bytes() __attribute__((weak));
+
 namespace {
 
 constexpr std::size_t kMemoryMb = 32;
@@ -117,6 +123,12 @@
   return origin;
 }
 
+// The bytes that this process has allocated on the heap.
+std::size_t AllocatedBytes() {
+  if (__sanitizer_get_current_allocated_bytes != nullptr) return __sanitizer_get_current_allocated_bytes();
+  return ::mallinfo2().uordblks;
+}
+
 // The bytes of answers that wait for an earlier one, as the router logs them.
 std::size_t HeldBytes(Router& router) {
   REQUIRE(::kill(router.process.pid, SIGUSR1) == 0);
@@ -156,6 +168,47 @@
   }
 }
 
+// Guards against memory of waiting answers that is on no account: each kept its request's id, which may be
+// as long as a line.
+TEST_CASE("an answer that waits holds little more than its own bytes") {
+  constexpr std::size_t kClients = 10, kReads = 90, kIdSize = 3800;
+  constexpr std::size_t kMaxBytesPerAnswer = 1024;  // a refusal takes some 20 bytes, with its bookkeeping
+  Listener discovery, origin;
+  InProcess router(Router::Config(discovery.address(),
+                                  ServerEntryJson("o1", origin.address(), "in_service", 0, "origin")),
+                   [](Limits& limits) {
+                     limits.max_pipeline = kReads + 1;
+                     limits.max_requests = kClients;  // all but the publishes are refused
+                   });
+  std::vector<Fd> clients, publishes;
+  for (std::size_t i = 0; i < kClients; ++i) {
+    clients.push_back(router.Connect());
+    SendPublishAndReads(clients.back(), "c" + std::to_string(i), 0);
+    publishes.push_back(origin.Accept());
+    REQUIRE(publishes.back().ReadUntil("\r\n\r\nhello").starts_with("PUT "));
+  }
+  const std::size_t before = AllocatedBytes();
+  for (std::size_t i = 0; i < kClients; ++i) {
+    std::string commands;
+    for (std::size_t n = 0; n < kReads; ++n)
+      commands += ReadCommand("k", std::string(kIdSize, 'i') + std::to_string(i * kReads + n));
+    clients[i].Write(commands);
+  }
+  // In each turn of the event loop every client is read once, 16 KiB at most.
+  Fd other = router.Connect();
+  for (std::size_t read = 0; read < 2 * kReads * kIdSize; read += 16 * 1024) {
+    other.Write("mn\r\n");
+    REQUIRE(other.ReadLine() == "MN\r\n");
+  }
+  CHECK(AllocatedBytes() <= before + kClients * kReads * kMaxBytesPerAnswer);
+  for (std::size_t i = 0; i < kClients; ++i) {
+    publishes[i].Write(HttpResponse("receipt"));
+    CHECK(clients[i].ReadLine() == "HD Opc" + std::to_string(i) + " creceipt\r\n");
+    for (std::size_t n = 0; n < kReads; ++n)
+      REQUIRE(clients[i].ReadLine().starts_with("SERVER_ERROR busy"));
+  }
+}
+
 // Guards against a connection that stops for good because later streamed values use the room that the first
 // one waits for.
 TEST_CASE("values that are streamed at once on one connection are all sent, in order") {
