Forget closed clients that waited for memory, and name the watermark of the rest

A client that was closed while it waited for memory stayed in the queue until room came; when a second process of the router ends, the memory grows and the waiting clients go on at once. The low watermark and the smallest piece of a streamed value are named constants.

--- a/src/core/answer_memory.cpp
+++ b/src/core/answer_memory.cpp
@@ -7,6 +7,12 @@
 namespace brasswood {
 namespace {
 
+// Connections that wait for room go on once this part of the shared memory is free, so that they do not go
+// on and pause again for each answer.
+constexpr std::size_t kResumeAtFreePart = 8;
+// Less room than this, in bytes, counts as none, so that a value is not streamed in tiny pieces.
+constexpr std::size_t kMinStreamPiece = 16 * 1024;
+
 std::size_t Difference(std::size_t a, std::size_t b) { return a > b ? a - b : 0; }
 
 }  // namespace
@@ -24,21 +30,19 @@
   const std::size_t shared_before = shared_;
   shared_ = shared_ - SharedBytes(before) + SharedBytes(after);
   highest_ = std::max(highest_, bytes_.held + bytes_.unsent);
-  const std::size_t low_watermark = limits_.max_answer_memory / 8 * 7;
-  if (shared_ < shared_before && shared_ <= low_watermark && HasRoom() && on_room_) on_room_();
+  const bool below_watermark = Free() >= limits_.max_answer_memory / kResumeAtFreePart;
+  if (shared_ < shared_before && below_watermark && HasRoom() && on_room_) on_room_();
   if (highest_ < logged_) return;
   LogLine(Level::kInfo) << "highest so far: " << *this;
   logged_ = 2 * highest_;
 }
 
 std::size_t AnswerAccount::StreamRoom(bool is_next) const {
-  // Less room than this counts as none, so that a value is not passed on in tiny pieces.
-  constexpr std::size_t kMinPiece = 16 * 1024;
   const Limits& limits = memory_.limits_;
   const std::size_t allowance = is_next ? Difference(limits.AnswerSize(), bytes_.unsent) : 0;
   const std::size_t in_window = Difference(limits.stream_window, is_next ? bytes_.unsent : bytes_.held);
   const std::size_t room = allowance + std::min(memory_.Free(), Difference(in_window, allowance));
-  return room < std::min(kMinPiece, limits.AnswerSize()) ? 0 : room;
+  return room < std::min(kMinStreamPiece, limits.AnswerSize()) ? 0 : room;
 }
 
 std::ostream& operator<<(std::ostream& out, const AnswerMemory& memory) {
--- a/src/net/client_close.cpp
+++ b/src/net/client_close.cpp
@@ -160,6 +160,7 @@
   loop_.deadlines().Cancel(client->deadline);
   loop_.deadlines().Cancel(client->close_check);
   LeaveIdleQueue(*client);
+  if (client->awaits_room) std::erase(awaiting_room_, id);
   client->discard.reset();
   client->buffer.reset();
   CancelPending(*client);
@@ -181,6 +182,7 @@
   idle_reused_.max_size = limits_.max_idle_reused_clients;
   if (idle_used_once_.eviction == Deadlines::Id()) EvictIdle(idle_used_once_);
   if (idle_reused_.eviction == Deadlines::Id()) EvictIdle(idle_reused_);
+  ScheduleResume();  // the memory that clients wait for may be more now
 }
 
 void ClientFrontEnd::SetDraining(bool on) {
--- a/src/net/client_commands.cpp
+++ b/src/net/client_commands.cpp
@@ -101,12 +101,10 @@
 void ClientFrontEnd::ResumeAwaitingRoom() {
   resume_due_ = false;
   while (!awaiting_room_.empty() && answer_memory_.HasRoom()) {
-    const std::uint64_t id = awaiting_room_.front();
+    Client& client = **clients_.Find(awaiting_room_.front());
     awaiting_room_.pop_front();
-    auto* found = clients_.Find(id);
-    if (found == nullptr) continue;
-    (*found)->awaits_room = false;
-    if ((*found)->read_paused) Advance(id);
+    client.awaits_room = false;
+    if (client.read_paused) Advance(client.id);
   }
 }
 
--- a/src/net/client_front_end.h
+++ b/src/net/client_front_end.h
@@ -160,7 +160,7 @@
   Deadlines::Id accept_queue_drained_;  // after a pause: every connection that was queued is accepted
   AnswerMemory answer_memory_;
   // Clients that are not read because the shared memory for answers is used up, in the order in which they
-  // go on. Some may have gone, or have gone on for other reasons.
+  // go on. Some may have gone on already, as their own answers were sent.
   std::deque<std::uint64_t> awaiting_room_;
   bool resume_due_ = false;  // a call of ResumeAwaitingRoom is scheduled
   Slots<std::unique_ptr<Client>> clients_;
