--- a/review/common-2/stand_ins.h
+++ b/review/common-2/stand_ins.h
@@ -613,6 +613,15 @@
     ::waitpid(std::exchange(pid_, -1), nullptr, 0);
   }
   const std::string& log() const { return log_; }
+  pid_t pid() const { return pid_; }
+  // What the process holds, in KiB, as the platform sees it (VmRSS).
+  long Memory() const {
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(status, line);) {
+      if (line.starts_with("VmRSS:")) return std::atol(line.c_str() + 6);
+    }
+    return 0;
+  }
 
  private:
   pid_t pid_ = -1;
