--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -7,14 +7,12 @@
 
 namespace {
 
-constexpr double kWork = 0.150;  // of a read at a cache server (get-tarball: 150 to 260 ms)
-constexpr double kSlow =
-    0.280;                     // the same while another program takes 46% of the machine (pages: 42 to 73%)
-constexpr int kSlowBoxes = 2;  // of five (pages: up to 48% of the boxes)
+constexpr double kWork = 0.150;           // of a read at a cache server (get-tarball: 150 to 260 ms)
+constexpr double kLarge = 0.280;          // of a large value: larger objects take more work
 constexpr double kOrigin = 0.150;         // of the origin, a read or a write (publish: 120 to 220 ms)
 constexpr std::size_t kOld = 400 * 1024;  // bytes of a value before it is published anew (at most 4 MiB)
 constexpr std::size_t kNew = 40 * 1024;   // and after
-constexpr int kRounds = 20;
+constexpr int kRounds = 12;
 constexpr double kPiece = 0.010;  // a large value is written in small pieces, this far apart
 
 std::string Value(const std::string& key, const std::string& version, std::size_t size) {
@@ -30,11 +28,11 @@
   const Setup setup = ReadSetup(argc, argv);
   World world(setup.record);
   Discovery discovery(world.record);
-  // On two boxes of five another program takes 46% of the machine: their large values begin later and leave
-  // in small pieces.
-  const Writer slow_writer = [&](Socket& to, const Arrival& a, const std::string& answer) {
+  // A large value takes more work. With the trouble it leaves in small pieces, without it whole.
+  const Writer writer = [&](Socket& to, const Arrival& a, const std::string& answer) {
     if (answer.size() < 100000) return to.Write(answer);
-    Sleep(kSlow - kWork);
+    Sleep(kLarge - kWork);
+    if (!setup.trouble) return to.Write(answer);
     for (std::size_t at = 0; at < answer.size(); at += 8192) {
       if (at > 0) Sleep(kPiece);
       if (!to.Write(answer.substr(at, 8192))) return false;
@@ -44,7 +42,7 @@
   };
   for (int i = 0; i < 5; ++i) {
     world.servers.push_back(std::make_unique<CacheServer>(world, "box-" + std::to_string(i), kWork));
-    if (setup.trouble && i < kSlowBoxes) world.servers.back()->writer = slow_writer;
+    world.servers.back()->writer = writer;
     discovery.Set(world.servers.back()->uid(), world.servers.back()->endpoint(), "std-6", "in_service",
                   "gikondo");
   }
@@ -93,7 +91,7 @@
     });
   }
   Sleep(3);
-  int whole = 0, failed = 0, closed = 0, wrong = 0, swallowed = 0;
+  int whole = 0, failed = 0, closed = 0, wrong = 0, swallowed = 0, late = 0;
   std::string example = "none";
   for (int round = 0; round < kRounds; ++round) {
     const std::string key = "package-large-" + std::to_string(round);
@@ -123,7 +121,7 @@
     // A second read on the same connection, behind the first one.
     Sleep(0.3);
     reader->Write(ReadCommand("package-1", next, labels));
-    const std::string answer = ReadAnswer(*reader, sent + 3.1);
+    const std::string answer = ReadAnswer(*reader, sent + 2.0);
     publisher.join();
     if (answer.empty()) {
       // Neither a whole value nor an error within its time. The client can tell only if the connection
@@ -132,10 +130,15 @@
       if (reader->closed()) {
         ++closed;
       } else {
-        ++wrong;
-        swallowed += got.find("O" + next) != got.npos;
         std::size_t same = 0;
         while (same < got.size() && same < before.size() && got[same] == before[same]) ++same;
+        // A value may take its time once it has begun; bytes that nobody made for it may not come.
+        if (same == got.size()) {
+          ++late;
+          continue;
+        }
+        ++wrong;
+        swallowed += got.find("O" + next) != got.npos;
         std::string rest = got.substr(same, 60);
         std::replace(rest.begin(), rest.end(), '\r', ' ');
         std::replace(rest.begin(), rest.end(), '\n', ' ');
@@ -158,11 +161,12 @@
   done = true;
   for (auto& t : threads) t.join();
   char verdict[500];
-  std::snprintf(
-      verdict, sizeof verdict,
-      "ordinary reads %d, served %d; %d reads of large values: whole %d, failed %d, closed %d, wrong and "
-      "without an end %d; in %d of these the next request's answer was sent as part of the value; e.g. %s",
-      reads.load(), served.load(), kRounds, whole, failed, closed, wrong, swallowed, example.c_str());
+  std::snprintf(verdict, sizeof verdict,
+                "ordinary reads %d, served %d; %d reads of large values: whole %d, failed %d, closed %d, "
+                "not whole yet %d, wrong "
+                "%d; in %d of these the next request's answer was sent as part of the value; e.g. %s",
+                reads.load(), served.load(), kRounds, whole, failed, closed, late, wrong, swallowed,
+                example.c_str());
   if (whole + wrong + closed < kRounds / 2) CannotRun(verdict);
   Finish(world.record, wrong > 0, verdict);
 }
