Answer the commands behind a large value that is cut

Cause: answers go out in the order of the commands, and a large value was sent as soon as its head had come, with commands already begun behind it. Once the value is cut, their answers cannot be sent.

Change: a value is sent as it comes only if nothing was received behind it, and nothing more is read until it is complete. With commands behind it, it is buffered, with its whole length reserved in the memory for answers; the attempt can fail without the client having seen anything, so that the module may retry it (FirstByte says whether it is committed). One that can never fit fails at once.

--- a/include/beechledge/balancer.h
+++ b/include/beechledge/balancer.h
@@ -188,6 +188,9 @@
   ServerId server = 0;
   int attempt = 0;
   Duration latency{0};
+  // Whether the client receives the answer as it arrives, so that no other attempt can serve the request
+  // any more. False: it is buffered first, and the request may be retried if the attempt fails.
+  bool committed = true;
 };
 
 struct ProbeResult {
--- a/src/core/answer_memory.cpp
+++ b/src/core/answer_memory.cpp
@@ -37,6 +37,20 @@
   logged_ = 2 * highest_;
 }
 
+bool AnswerAccount::TryReserve(std::size_t bytes, bool is_next) {
+  StopAwaiting();
+  const std::size_t kept_free = is_next ? 0 : memory_.limits_.max_answer_memory / 2;
+  if (memory_.Free() >= bytes + kept_free) {
+    Reserve(bytes);
+    return true;
+  }
+  if (is_next) {
+    awaited_ = bytes;
+    memory_.awaited_ += bytes;
+  }
+  return false;
+}
+
 std::size_t AnswerAccount::StreamRoom(bool is_next) const {
   const Limits& limits = memory_.limits_;
   const std::size_t allowance = is_next ? Difference(limits.AnswerSize(), bytes_.unsent) : 0;
--- a/src/core/answer_memory.h
+++ b/src/core/answer_memory.h
@@ -38,8 +38,9 @@
   std::size_t shared() const { return shared_; }  // bytes in use of the shared memory
   // What is left of the shared memory, in bytes.
   std::size_t Free() const;
-  // Whether another request may be begun behind an unanswered one.
-  bool HasRoom() const { return Free() >= limits_.AnswerSize(); }
+  // Whether another request may be begun behind an unanswered one. Values that wait to be buffered come
+  // first.
+  bool HasRoom() const { return Free() >= limits_.AnswerSize() + awaited_; }
   // `call` is called whenever bytes were returned and the shared memory is below its low watermark. It must
   // not change an account.
   void OnRoom(std::function<void()> call) { on_room_ = std::move(call); }
@@ -55,6 +56,7 @@
   std::function<void()> on_room_;
   AnswerBytes bytes_;
   std::size_t shared_ = 0;
+  std::size_t awaited_ = 0;  // bytes that TryReserve was asked for and had no room for
   std::size_t highest_ = 0;
   std::size_t logged_ = 1 << 20;  // the next value of highest_ that is logged
 };
@@ -68,12 +70,21 @@
   explicit AnswerAccount(AnswerMemory& memory) : memory_(memory) {}
   AnswerAccount(const AnswerAccount&) = delete;
   AnswerAccount& operator=(const AnswerAccount&) = delete;
-  ~AnswerAccount() { Set({}); }
+  ~AnswerAccount() {
+    StopAwaiting();
+    Set({});
+  }
 
   const AnswerBytes& bytes() const { return bytes_; }
   // Reserves memory for the answer of a request that is begun behind another one, until it is released.
   void Reserve(std::size_t bytes) { Set({bytes_.reserved + bytes, bytes_.held, bytes_.unsent}); }
   void Release(std::size_t bytes) { Set({bytes_.reserved - bytes, bytes_.held, bytes_.unsent}); }
+  // Reserves memory for a value that is buffered whole, all of it or nothing. `is_next`: whether its answer
+  // is next in the order of the connection. If there is no room, such a value goes before requests that are
+  // not begun yet; any other one leaves half of the memory to the answers before it.
+  bool TryReserve(std::size_t bytes, bool is_next);
+  // The value that TryReserve had no room for is not needed any more.
+  void StopAwaiting() { memory_.awaited_ -= std::exchange(awaited_, 0); }
   void AddHeld(std::size_t bytes) { Set({bytes_.reserved, bytes_.held + bytes, bytes_.unsent}); }
   void RemoveHeld(std::size_t bytes) { Set({bytes_.reserved, bytes_.held - bytes, bytes_.unsent}); }
   void SetUnsent(std::size_t bytes) { Set({bytes_.reserved, bytes_.held, bytes}); }
@@ -82,7 +93,10 @@
   // reads, whatever the others hold.
   std::size_t StreamRoom(bool is_next) const;
   // No answer is due any more; what is unsent stays.
-  void DropPending() { Set({0, 0, bytes_.unsent}); }
+  void DropPending() {
+    StopAwaiting();
+    Set({0, 0, bytes_.unsent});
+  }
 
  private:
   void Set(const AnswerBytes& bytes) {
@@ -92,6 +106,7 @@
 
   AnswerMemory& memory_;
   AnswerBytes bytes_;
+  std::size_t awaited_ = 0;
 };
 
 }  // namespace brasswood
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -118,7 +118,7 @@
                                       now + event.ttl,
                                       0,
                                       false,
-                                      0,
+                                      {},
                                       {},
                                       {}});
   event.id = id;
@@ -139,7 +139,7 @@
   if (request.ended) return;
   MarkEnded(request);
   const Duration late = now_() - request.deadline;
-  counters_.invariants.Expect(request.streaming != 0 || late <= Invariants::kMaxAnswerDelay,
+  counters_.invariants.Expect(request.response.committed() || late <= Invariants::kMaxAnswerDelay,
                               Invariant::kAnsweredInTime, request.content->id);
   CountClass(request.request_class, answer.kind);
   switch (answer.kind) {
@@ -183,18 +183,21 @@
   requests_.Each([&](RequestId id, const Request& request) {
     if (!request.ended) open.push_back(id);
   });
-  for (const RequestId id : open) {
-    Request& request = *requests_.Find(id);
-    const std::vector<AttemptId> in_flight = request.in_flight;
-    AnswerRequest(request, {AnswerKind::kFailed, {}, {}});
-    Queue(beechledge::ClientGone{id});  // the module must not decide anything more for it
-    for (const AttemptId attempt : in_flight) AbortAttempt(attempt, Result::kCancelled);
-    RemoveIfDone(id);
-  }
+  for (const RequestId id : open) FailRequest(id);
   Pump();
   return open.size();
 }
 
+// Fails an open request and aborts its attempts, whatever the module would decide.
+void Engine::FailRequest(RequestId id) {
+  Request& request = *requests_.Find(id);
+  const std::vector<AttemptId> in_flight = request.in_flight;
+  AnswerRequest(request, {AnswerKind::kFailed, {}, {}});
+  Queue(beechledge::ClientGone{id});  // the module must not decide anything more for it
+  for (const AttemptId attempt : in_flight) AbortAttempt(attempt, Result::kCancelled);
+  RemoveIfDone(id);
+}
+
 // Removes a request once it has ended and none of its attempts is in flight.
 void Engine::RemoveIfDone(RequestId id) {
   const Request* request = requests_.Find(id);
@@ -228,7 +231,7 @@
 void Engine::Execute(const beechledge::FetchList&) { watch_->RequestWholeList(); }
 void Engine::Execute(const beechledge::Probe& a) {
   if (!settings_.allowed.probes || a.server >= directory_.size()) return;
-  const AttemptId id = attempts_.Add({0, a.server, 0, now_(), {}, {}});
+  const AttemptId id = attempts_.Add({0, a.server, 0, now_(), {}, {}, {}});
   attempts_.Find(id)->deadline = deadlines_.Set(now_() + limits_.probe_timeout, [this, id] {
     AbortAttempt(id, Result::kTimeout);
     Pump();
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -20,6 +20,7 @@
 #include "config/limits.h"
 #include "core/deadlines.h"
 #include "core/interfaces.h"
+#include "core/response.h"
 #include "core/send_guard.h"
 #include "core/slots.h"
 #include "discovery/availability_record.h"
@@ -49,10 +50,10 @@
 
   // Called by back ends. An id that has already ended is ignored.
   void AttemptEnded(AttemptId attempt, AttemptResult end);
-  // The attempt's answer is a large value that is streamed in chunks. From now on the request is bound to
-  // this attempt, and the module is notified of the first byte. Returns false if the value is not needed
-  // (the request has ended, or another of its attempts is streaming a value): the back end then aborts the
-  // attempt.
+  // The attempt's answer is a large value that is streamed in chunks, to the client or into a buffer
+  // (StreamMode). The module is notified of the first byte. Returns false if the value is not needed or
+  // cannot be taken (the request has ended, another of its attempts is streaming a value, or the value must
+  // be buffered and is too large for that): the back end then aborts the attempt.
   bool StreamStarted(AttemptId attempt, std::size_t length);
   // A chunk of the value. An empty chunk means that the client is still reading earlier chunks, so that the
   // pause does not count as the server being unresponsive.
@@ -116,7 +117,7 @@
     Time deadline{0};
     int attempts = 0;
     bool ended = false;
-    AttemptId streaming = 0;  // the attempt whose value is being streamed; 0: none
+    Response response;
     std::vector<AttemptId> in_flight;
     std::vector<ServerId> tried_servers;
     Time repeat_by{Time::max()};  // a keyed request that may have run: repeats must be sent before this
@@ -127,6 +128,7 @@
     ServerId server = 0;
     int number = 0;  // its index among the request's attempts, from 0
     Time sent{0};
+    Time until{0};          // an answer after this is useless, unless its value is being sent to the client
     Time send_deadline{0};  // its last byte must be sent before this
     Deadlines::Id deadline;
   };
@@ -151,8 +153,10 @@
   void HoldBack(const beechledge::Send& a, int attempt, bool complete, SendVerdict why);
   void MarkEnded(Request& request);
   void AbortAttempt(AttemptId id, beechledge::Result why);
-  void RestartStallTimer(Attempt& attempt, AttemptId id);
+  void RestartStallTimer(const Request& request, Attempt& attempt, AttemptId id);
+  void FailRequest(RequestId id);
   void FinishAttempt(AttemptId id, AttemptResult end);
+  void ApplyEffect(Request& request, AttemptId id, AttemptResult& end);
   void AnswerRequest(Request& request, const Answer& answer);
   void RemoveIfDone(RequestId id);
   void ForgetRemovedServers();
--- a/src/core/engine_attempts.cpp
+++ b/src/core/engine_attempts.cpp
@@ -21,7 +21,7 @@
   Time until = request->deadline;
   if (a.timeout > Duration(0)) until = std::min(until, now + a.timeout);
   const Time send_deadline = std::min(until, request->repeat_by);
-  const AttemptId id = attempts_.Add({a.id, a.server, attempt, now, send_deadline, {}});
+  const AttemptId id = attempts_.Add({a.id, a.server, attempt, now, until, send_deadline, {}});
   request->in_flight.push_back(id);
   request->tried_servers.push_back(a.server);
   attempts_.Find(id)->deadline = deadlines_.Set(until, [this, id] {
@@ -110,15 +110,7 @@
     request->repeat_by = std::min(request->repeat_by,
                                   attempt.sent + settings_.classes[of].window - limits_.transit_allowance);
   }
-  if (end.result == Result::kOk) {
-    AnswerRequest(
-        *request,
-        {request->content->write ? AnswerKind::kReceipt : AnswerKind::kValue, std::move(end.body), {}});
-  } else if (request->streaming == id) {
-    // The value was started but not completed: the module does not retry such a request, and its client has
-    // to see that the value is cut.
-    AnswerRequest(*request, {AnswerKind::kFailed, {}, {}});
-  }
+  ApplyEffect(*request, id, end);
   beechledge::Outcome outcome;
   outcome.id = attempt.request;
   outcome.server = attempt.server;
@@ -132,24 +124,54 @@
   RemoveIfDone(attempt.request);
 }
 
+// Gives the request's client what the end of this attempt means for it. The module does not retry a request
+// whose value is cut, and its client has to see that; a value that was only buffered may be retried.
+void Engine::ApplyEffect(Request& request, AttemptId id, AttemptResult& end) {
+  switch (request.response.EffectOf(id, end.result == Result::kOk)) {
+    case AttemptEffect::kAnswers: {
+      const AnswerKind kind = request.content->write ? AnswerKind::kReceipt : AnswerKind::kValue;
+      return AnswerRequest(request, {kind, std::move(end.body), {}});
+    }
+    case AttemptEffect::kTruncates:
+      return AnswerRequest(request, {AnswerKind::kFailed, {}, {}});
+    case AttemptEffect::kDropsBuffer:
+      request.response.DropBuffer();
+      if (!request.ended) request.front->DropStream(request.ticket);
+      return;
+    case AttemptEffect::kNone:
+      return;
+  }
+}
+
 bool Engine::StreamStarted(AttemptId id, std::size_t length) {
   Attempt* attempt = attempts_.Find(id);
   if (attempt == nullptr || attempt->request == 0) return false;
-  Request* request = requests_.Find(attempt->request);
-  if (request == nullptr || request->ended || request->streaming != 0) return false;
-  request->streaming = id;
-  RestartStallTimer(*attempt, id);
-  request->front->StartStream(request->ticket, length);
-  Push(beechledge::FirstByte{attempt->request, attempt->server, attempt->number, now_() - attempt->sent});
+  const RequestId request_id = attempt->request;
+  Request* request = requests_.Find(request_id);
+  if (request == nullptr || request->ended || request->response.source() != 0) return false;
+  const StreamMode mode = request->front->StartStream(request->ticket, length);
+  if (mode == StreamMode::kRefuse) {
+    LogLine(Level::kInfo) << "request " << request->content->id << " failed: its value of " << length
+                          << " bytes is too large to be buffered";
+    FailRequest(request_id);
+    Pump();
+    return false;
+  }
+  request->response.Start(id, mode);
+  RestartStallTimer(*request, *attempt, id);
+  Push(beechledge::FirstByte{request_id, attempt->server, attempt->number, now_() - attempt->sent,
+                             request->response.committed()});
   return true;
 }
 
 // Guards against cutting off a slow server that is still sending: the request's deadline applies to the
-// first bytes, and once a value has started there is no other way to serve it. Only an attempt whose server
-// becomes unresponsive is aborted.
-void Engine::RestartStallTimer(Attempt& attempt, AttemptId id) {
+// first bytes, and once the client receives a value there is no other way to serve it. Only an attempt
+// whose server becomes unresponsive is aborted. A value that is buffered has to be complete in time.
+void Engine::RestartStallTimer(const Request& request, Attempt& attempt, AttemptId id) {
   deadlines_.Cancel(attempt.deadline);
-  attempt.deadline = deadlines_.Set(now_() + limits_.stream_stall_timeout, [this, id] {
+  Time at = now_() + limits_.stream_stall_timeout;
+  if (!request.response.committed()) at = std::min(at, attempt.until);
+  attempt.deadline = deadlines_.Set(at, [this, id] {
     AbortAttempt(id, Result::kTimeout);
     Pump();
   });
@@ -159,8 +181,8 @@
   Attempt* attempt = attempts_.Find(id);
   if (attempt == nullptr) return;
   const Request* request = requests_.Find(attempt->request);
-  if (request == nullptr || request->ended || request->streaming != id) return;
-  RestartStallTimer(*attempt, id);
+  if (request == nullptr || request->ended || request->response.source() != id) return;
+  RestartStallTimer(*request, *attempt, id);
   if (!bytes.empty()) request->front->SendChunk(request->ticket, bytes);
 }
 
--- a/src/core/interfaces.h
+++ b/src/core/interfaces.h
@@ -46,20 +46,27 @@
   Duration retry_after{0};  // set for a refusal; 0: not stated
 };
 
+// A large value is streamed: StartStream with its length, then SendChunk for each chunk, then Deliver.
+// Deliver with kValue completes it (its body is empty, because the value was sent in chunks). The front end
+// chooses the mode of the stream:
+//  - kSend: the chunks go to the client as they come. Any other answer then means that the value cannot be
+//    completed: the front end must make that visible to its client, by closing the connection once the
+//    chunks received so far are sent, and must not send a second answer.
+//  - kBuffer: nothing goes to the client before the value is complete, because the answers behind it could
+//    not be sent if it were cut. Any other answer replaces the chunks. DropStream drops them, and the
+//    request waits for another answer, which may be streamed too.
+//  - kRefuse: the value is too large to be buffered, so that the request must be failed.
+enum class StreamMode { kSend, kBuffer, kRefuse };
+
 // A front end. It receives exactly one answer for each request, identified by the ticket that it passed to
 // the engine. It must not call the engine from inside these functions, because the engine is modifying its
 // tables at that point.
-//
-// A large value is streamed: StartStream with its length, then SendChunk for each chunk, then Deliver.
-// Deliver with kValue completes it (its body is empty, because the value was sent in chunks). Any other
-// answer after StartStream means that the value cannot be completed: the front end must make that visible
-// to its client, by closing the connection once the chunks received so far are sent, and must not send a
-// second answer.
 class FrontEnd {
  public:
   virtual ~FrontEnd() = default;
   virtual void Deliver(std::uint64_t ticket, const Answer& answer) = 0;
-  virtual void StartStream(std::uint64_t ticket, std::size_t length) = 0;
+  virtual StreamMode StartStream(std::uint64_t ticket, std::size_t length) = 0;
+  virtual void DropStream(std::uint64_t ticket) = 0;
   virtual void SendChunk(std::uint64_t ticket, std::string_view bytes) = 0;
   // Whether this ticket's client is still connected, as far as its connection shows.
   virtual bool IsConnected(std::uint64_t ticket) const = 0;
--- /dev/null
+++ b/src/core/response.h
@@ -0,0 +1,44 @@
+// The answer of one request: which attempt provides a streamed value, and whether its client has received a
+// part of it. Free of I/O; owned by the request.
+#ifndef BRASSWOOD_CORE_RESPONSE_H_
+#define BRASSWOOD_CORE_RESPONSE_H_
+
+#include "core/interfaces.h"
+
+namespace brasswood {
+
+// What the end of an attempt means for its request's client.
+enum class AttemptEffect {
+  kNone,         // nothing: the request waits for another attempt, or for the module's decision
+  kAnswers,      // the client gets this attempt's answer
+  kTruncates,    // the value that the client has begun to receive cannot be completed
+  kDropsBuffer,  // the value received so far is dropped, and the client has seen nothing of it
+};
+
+class Response {
+ public:
+  // The attempt whose value is being streamed, to the client or into a buffer; 0: none.
+  AttemptId source() const { return source_; }
+  // Whether the client may have received a part of the value: only its source can complete it then.
+  bool committed() const { return committed_; }
+
+  void Start(AttemptId attempt, StreamMode mode) {
+    source_ = attempt;
+    committed_ = mode == StreamMode::kSend;
+  }
+  void DropBuffer() { source_ = 0; }
+
+  AttemptEffect EffectOf(AttemptId attempt, bool ok) const {
+    if (ok) return AttemptEffect::kAnswers;
+    if (attempt != source_) return AttemptEffect::kNone;
+    return committed_ ? AttemptEffect::kTruncates : AttemptEffect::kDropsBuffer;
+  }
+
+ private:
+  AttemptId source_ = 0;
+  bool committed_ = false;
+};
+
+}  // namespace brasswood
+
+#endif  // BRASSWOOD_CORE_RESPONSE_H_
--- a/src/net/client_answers.cpp
+++ b/src/net/client_answers.cpp
@@ -37,14 +37,16 @@
   if (pending == nullptr) return;
   counters_.invariants.Expect(!pending->answered, Invariant::kAnsweredOnce, pending->id);
   pending->ticket = 0;
+  const bool completes = pending->stream && pending->missing == 0 && answer.kind == AnswerKind::kValue;
+  if (pending->buffers_stream() && !completes) ClearStream(*client, *pending);
   client->answers.Release(std::exchange(pending->reserved, 0));
   const std::size_t before = pending->text.size();
-  if (!pending->streaming) {
-    AppendAnswer(pending->text, pending->id, answer, limits_);
-  } else if (answer.kind == AnswerKind::kValue) {
+  if (completes) {
     pending->text.append("\r\n");
-  } else {
+  } else if (pending->sends_stream()) {
     pending->truncated = true;
+  } else {
+    AppendAnswer(pending->text, pending->id, answer, limits_);
   }
   pending->answered = true;
   pending->request = 0;
@@ -53,30 +55,74 @@
   Flush(*client);
 }
 
-void ClientFrontEnd::StartStream(std::uint64_t ticket, std::size_t length) {
+// Guards against commands that are read, and perhaps take effect, behind a value that is cut: the
+// connection ends where the value stops, and their answers could not be sent. So a value is sent as it
+// comes only if no command was received behind it, and no further command is read until it is complete. A
+// value with commands behind it is buffered: it is sent once it is complete, or fails without having been
+// begun.
+StreamMode ClientFrontEnd::ChooseStreamMode(const Client& client, const Pending& pending,
+                                            std::size_t length) const {
+  const bool last = &pending == &client.pending.back() &&
+                    evbuffer_get_length(bufferevent_get_input(client.buffer.get())) == 0 &&
+                    !HasUnreadInput(bufferevent_getfd(client.buffer.get()));
+  if (last) return StreamMode::kSend;
+  return length + limits_.max_line <= limits_.max_answer_memory ? StreamMode::kBuffer : StreamMode::kRefuse;
+}
+
+StreamMode ClientFrontEnd::StartStream(std::uint64_t ticket, std::size_t length) {
   Client* client = nullptr;
   Pending* pending = FindPending(ticket, client);
-  if (pending == nullptr || pending->streaming || pending->answered) return;
-  client->answers.Release(std::exchange(pending->reserved, 0));  // from here on, StreamRoom bounds it
+  if (pending == nullptr || pending->stream || pending->answered) return StreamMode::kRefuse;
+  const StreamMode mode = ChooseStreamMode(*client, *pending, length);
+  if (mode == StreamMode::kRefuse) return mode;
+  pending->stream = mode;
+  pending->missing = length;
+  if (mode == StreamMode::kSend) {
+    client->answers.Release(std::exchange(pending->reserved, 0));  // from here on, StreamRoom bounds it
+    if (!client->closing) PauseReading(*client);
+  }
   const std::size_t before = pending->text.size();
   // Guards against an allocation that doubles with each chunk of a value that has to wait.
-  if (pending != &client->pending.front())
+  if (mode == StreamMode::kSend && pending != &client->pending.front())
     pending->text.reserve(limits_.max_line + std::min(length, limits_.stream_window));
   pending->text.append("VA ")
       .append(std::to_string(length))
       .append(" O")
       .append(pending->id)
       .append("\r\n");
-  pending->streaming = true;
   client->answers.AddHeld(pending->text.size() - before);
   Flush(*client);
+  return mode;
+}
+
+// Drops what was buffered of a value. Its memory is returned, but for a reservation of an ordinary answer.
+void ClientFrontEnd::ClearStream(Client& client, Pending& pending) {
+  client.answers.RemoveHeld(pending.text.size());
+  client.answers.Release(std::exchange(pending.reserved, 0));
+  client.answers.StopAwaiting();
+  std::string().swap(pending.text);
+  pending.stream.reset();
+  pending.missing = 0;
+  if (&pending == &client.pending.front()) return;
+  pending.reserved = limits_.AnswerSize();
+  client.answers.Reserve(pending.reserved);
+}
+
+void ClientFrontEnd::DropStream(std::uint64_t ticket) {
+  Client* client = nullptr;
+  Pending* pending = FindPending(ticket, client);
+  if (pending != nullptr && pending->buffers_stream() && !pending->answered) ClearStream(*client, *pending);
 }
 
 void ClientFrontEnd::SendChunk(std::uint64_t ticket, std::string_view bytes) {
   Client* client = nullptr;
   Pending* pending = FindPending(ticket, client);
-  if (pending == nullptr || !pending->streaming || pending->answered) return;
+  if (pending == nullptr || !pending->stream || pending->answered) return;
   pending->text.append(bytes);
+  pending->missing -= std::min(pending->missing, bytes.size());
+  const std::size_t reserved = std::min(pending->reserved, bytes.size());
+  pending->reserved -= reserved;
+  client->answers.Release(reserved);
   client->answers.AddHeld(bytes.size());
   Flush(*client);
 }
@@ -89,9 +135,18 @@
 
 std::size_t ClientFrontEnd::StreamRoom(std::uint64_t ticket) {
   Client* client = nullptr;
-  const Pending* pending = FindPending(ticket, client);
+  Pending* pending = FindPending(ticket, client);
   if (pending == nullptr) return limits_.stream_window;  // nobody waits for it: what is sent is dropped
-  return client->answers.StreamRoom(pending == &client->pending.front());
+  const bool next = pending == &client->pending.front();
+  if (!pending->buffers_stream()) return client->answers.StreamRoom(next);
+  // The whole value is reserved before any of it is buffered, so that a buffered value can be completed
+  // whatever the others hold.
+  if (pending->reserved < pending->missing) {
+    if (!client->answers.TryReserve(pending->missing - pending->reserved, next)) return 0;
+    pending->reserved = pending->missing;
+    pending->text.reserve(limits_.max_line + pending->missing);
+  }
+  return pending->missing;
 }
 
 // Appends `text` to the output. Guards against a long answer that is in memory twice, in the text and in
@@ -113,8 +168,9 @@
 // answer (reading further, closing) is scheduled as a separate call of Advance, because the engine may be
 // the caller here and must not be re-entered.
 void ClientFrontEnd::Flush(Client& client) {
-  while (!client.cut_off && !client.pending.empty() &&
-         (client.pending.front().answered || client.pending.front().streaming)) {
+  const std::uint64_t first_number = client.first_number;
+  while (!client.value_truncated && !client.pending.empty() &&
+         (client.pending.front().answered || client.pending.front().sends_stream())) {
     Pending& front = client.pending.front();
     client.answers.RemoveHeld(front.text.size());
     Write(*client.buffer, std::exchange(front.text, {}));
@@ -125,11 +181,13 @@
     // Guards against a truncated value that is read as complete, or with the next answer as its rest: the
     // client sees the connection end where the value stops.
     if (truncated) {
-      client.cut_off = true;
+      client.value_truncated = true;
       MarkClosing(client, ClientEndReason::kValueTruncated);
     }
   }
-  if ((client.read_paused || client.closing || shutdown_.begun() || draining_) && !client.advance_due) {
+  const bool sent = client.first_number != first_number;
+  if (((client.read_paused && sent) || client.closing || shutdown_.begun() || draining_) &&
+      !client.advance_due) {
     client.advance_due = true;
     loop_.deadlines().Set(loop_.Now(), [this, id = client.id] { Advance(id); });
   }
--- a/src/net/client_close.cpp
+++ b/src/net/client_close.cpp
@@ -151,23 +151,24 @@
   LogLine(Level::kDebug) << "client " << id
                          << " closed: " << kClientEndReasonNames[static_cast<std::size_t>(ended)]
                          << ", pending: " << client->pending.size();
-  const bool by_client =
-      ended == ClientEndReason::kClosedByClient || ended == ClientEndReason::kClientStalled;
-  const std::string_view unanswered =
-      client->pending.empty() ? std::string_view() : client->pending.front().id;
-  counters_.invariants.Expect(by_client || client->pending.empty(), Invariant::kAnsweredBeforeClose,
-                              unanswered);
   loop_.deadlines().Cancel(client->deadline);
   loop_.deadlines().Cancel(client->close_check);
   LeaveIdleQueue(*client);
   if (client->awaits_room) std::erase(awaiting_room_, id);
   client->discard.reset();
   client->buffer.reset();
-  CancelPending(*client);
+  CancelPending(*client, ended);
 }
 
-// Cancels everything that is pending for a client that can receive no more answers.
-void ClientFrontEnd::CancelPending(Client& client) {
+// Cancels everything that is pending for a client that can receive no more answers. This is the only place
+// where a command that was read loses its answer, which is owed to every client that has not ended the
+// connection itself.
+void ClientFrontEnd::CancelPending(Client& client, ClientEndReason why) {
+  const bool by_client = why == ClientEndReason::kClosedByClient || why == ClientEndReason::kClientStalled;
+  const std::string_view unanswered =
+      client.pending.empty() ? std::string_view() : client.pending.front().id;
+  counters_.invariants.Expect(by_client || client.pending.empty(), Invariant::kAnsweredBeforeClose,
+                              unanswered);
   const std::deque<Pending> pending = std::exchange(client.pending, {});
   client.first_number += pending.size();
   client.answers.DropPending();
--- a/src/net/client_commands.cpp
+++ b/src/net/client_commands.cpp
@@ -13,11 +13,12 @@
   return !client.pending.empty() || client.answers.bytes().unsent != 0;
 }
 
-// Whether no more commands of this client are read for now: too many are unanswered, too many answer bytes
-// are unsent, or no memory is left for an answer that would have to wait. A client without any answer due
-// is never full.
+// Whether no more commands of this client are read for now: a value is being sent to it as it comes (see
+// ChooseStreamMode), too many are unanswered, too many answer bytes are unsent, or no memory is left for an
+// answer that would have to wait. A client without any answer due is never full.
 bool ClientFrontEnd::IsFull(const Client& client) const {
-  return client.pending.size() >= limits_.max_pipeline ||
+  const bool streaming = !client.pending.empty() && client.pending.back().sends_stream();
+  return streaming || client.pending.size() >= limits_.max_pipeline ||
          (HasAnswersDue(client) && !answer_memory_.HasRoom()) ||
          client.answers.bytes().held + client.answers.bytes().unsent >= limits_.max_unsent;
 }
--- a/src/net/client_front_end.cpp
+++ b/src/net/client_front_end.cpp
@@ -220,9 +220,7 @@
     client.read_resumed = true;
     return ReadCommands(client);
   }
-  if (client.cut_off && !client.pending.empty()) {
-    CancelPending(client);
-  }
+  if (client.value_truncated && !client.pending.empty()) CancelPending(client, client.close_reason);
   if (client.closing) return LingeringClose(client);
   // While draining or shutting down, a connection closes once it is idle, but a new one may first send a
   // command. (libevent reports the empty output of a new connection as written, which would close it before
--- a/src/net/client_front_end.h
+++ b/src/net/client_front_end.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "config/limits.h"
@@ -29,7 +30,8 @@
   ~ClientFrontEnd() override;
 
   void Deliver(std::uint64_t ticket, const Answer& answer) override;
-  void StartStream(std::uint64_t ticket, std::size_t length) override;
+  StreamMode StartStream(std::uint64_t ticket, std::size_t length) override;
+  void DropStream(std::uint64_t ticket) override;
   void SendChunk(std::uint64_t ticket, std::string_view bytes) override;
   bool IsConnected(std::uint64_t ticket) const override;
   std::size_t StreamRoom(std::uint64_t ticket) override;
@@ -67,10 +69,13 @@
     std::uint64_t ticket = 0;  // set while the engine still has to answer; otherwise 0
     std::string id;
     bool answered = false;
-    bool streaming = false;    // a streamed value: what `text` holds may be sent before the rest arrives
-    bool truncated = false;    // a streamed value that cannot be completed
-    std::size_t reserved = 0;  // bytes reserved for its answer while it is not answered
+    std::optional<StreamMode> stream;  // of a streamed value: whether `text` may be sent as it grows
+    std::size_t missing = 0;           // of a streamed value: the bytes of it that have not arrived
+    bool truncated = false;            // a value that was sent in part and cannot be completed
+    std::size_t reserved = 0;          // bytes reserved for its answer while it is not answered
     std::string text;
+    bool sends_stream() const { return stream == StreamMode::kSend; }
+    bool buffers_stream() const { return stream == StreamMode::kBuffer; }
   };
   struct Client {
     explicit Client(AnswerMemory& memory) : answers(memory) {}
@@ -88,13 +93,13 @@
     Time queued_since{0};
     bool closing = false;  // further commands are ignored; it closes once everything is answered
     ClientEndReason close_reason = ClientEndReason::kClosedByClient;  // of a client that is closing
-    bool write_shut = false;    // everything is answered and the sending side was shut
-    bool read_paused = false;   // not read until some of its answers were sent
-    bool awaits_room = false;   // in awaiting_room_
-    bool read_resumed = false;  // data read now may have waited for the client's own answers
-    bool advance_due = false;   // a call of Advance is scheduled
-    bool cut_off = false;       // a value was truncated: nothing more is sent, the rest is cancelled
-    EventPtr discard;           // of a client that is closing: reads further input and discards it
+    bool write_shut = false;       // everything is answered and the sending side was shut
+    bool read_paused = false;      // not read until some of its answers were sent
+    bool awaits_room = false;      // in awaiting_room_
+    bool read_resumed = false;     // data read now may have waited for the client's own answers
+    bool advance_due = false;      // a call of Advance is scheduled
+    bool value_truncated = false;  // nothing may be sent behind the part of a value that was sent
+    EventPtr discard;              // of a client that is closing: reads further input and discards it
     std::size_t discarded_bytes = 0;
     IdleQueue* idle_queue = nullptr;  // null unless idle
     std::list<std::uint64_t>::iterator idle_position;
@@ -121,6 +126,8 @@
   static void Write(bufferevent& to, std::string text);
   void Flush(Client& client);
   Pending* FindPending(std::uint64_t ticket, Client*& client);
+  StreamMode ChooseStreamMode(const Client& client, const Pending& pending, std::size_t length) const;
+  void ClearStream(Client& client, Pending& pending);
   static bool HasAnswersDue(const Client& client);
   bool IsFull(const Client& client) const;
   void PauseReading(Client& client);
@@ -140,7 +147,7 @@
   void DiscardInput(Client& client);
   int EvictionRank(const Client& client, Time now) const;
   void Close(std::uint64_t id, ClientEndReason why);
-  void CancelPending(Client& client);
+  void CancelPending(Client& client, ClientEndReason why);
   void RefuseRequest(Client& client, const std::string& request);
   bool AcceptQueued();
   void StopListening();
--- a/src/policy/attempts.cpp
+++ b/src/policy/attempts.cpp
@@ -188,7 +188,14 @@
 
 void Balancer::Core::HandleEvent(const FirstByte& e) {
   const auto it = requests_.find(e.id);
-  if (it != requests_.end()) it->second.streaming = true;
+  if (it == requests_.end()) return;
+  Request& r = it->second;
+  const auto i = static_cast<std::size_t>(e.attempt);
+  if (e.committed) {
+    r.streaming = true;
+  } else if (e.attempt >= 0 && i < r.attempts.size()) {
+    r.attempts[i].answering = true;
+  }
 }
 
 void Balancer::Core::HandleEvent(const ProbeResult& e) {
@@ -217,7 +224,8 @@
   Request& r = it->second;
   if (kind == TimerKind::kDeadline) {
     EndRequest(r);
-  } else if (kind == TimerKind::kHedge && r.outstanding == 1 && retry_tokens_ >= 1) {
+  } else if (kind == TimerKind::kHedge && r.outstanding == 1 && retry_tokens_ >= 1 &&
+             !r.attempts.back().answering) {
     const int best = Choose(r, false);
     if (best >= 0 && !r.HasTried(static_cast<ServerId>(best)) && SendTo(r, static_cast<ServerId>(best))) {
       retry_tokens_ -= 1;
--- a/src/policy/overdue_attempts.cpp
+++ b/src/policy/overdue_attempts.cpp
@@ -39,7 +39,8 @@
   std::vector<Request*> outstanding;
   for (auto& [key, r] : requests_) {
     if (r.ended || r.streaming || r.outstanding != 1 || ClassOf(r).effect != Effect::kSafe) continue;
-    if (r.attempts.back().outstanding && r.attempts.back().server == id) outstanding.push_back(&r);
+    const Attempt& a = r.attempts.back();
+    if (a.outstanding && !a.answering && a.server == id) outstanding.push_back(&r);
   }
   std::sort(outstanding.begin(), outstanding.end(), [](const Request* a, const Request* b) {
     return a->arrived != b->arrived ? a->arrived > b->arrived : a->id > b->id;
@@ -69,6 +70,7 @@
   for (auto& [key, r] : requests_) {
     if (r.ended || r.streaming || r.outstanding != 1 || !r.attempts.back().outstanding) continue;
     Attempt& a = r.attempts.back();
+    if (a.answering) continue;  // a retry would have to receive the whole answer again
     const Server& s = servers_[a.server];
     const RequestClass& c = ClassOf(r);
     const Time latest = LatestUsefulTime(r);
--- a/src/policy/records.h
+++ b/src/policy/records.h
@@ -49,6 +49,7 @@
   bool outstanding = true;
   bool may_have_run = true;
   bool overdue = false;           // cancelled for taking too long
+  bool answering = false;         // its answer has begun to arrive, and is buffered
   std::uint32_t incarnation = 0;  // of its server, when it was sent
   // It failed on the network path (malformed answer, broken or unresponsive connection) while its server
   // was answering other requests.
--- a/tests/net/answer_memory_test.cpp
+++ b/tests/net/answer_memory_test.cpp
@@ -344,3 +344,24 @@
   accounts.back()->SetUnsent(0);
   CHECK(accounts.back()->StreamRoom(true) > 0);
 }
+
+// Guards against buffered values that wait for each other's memory: each is reserved whole or not at all.
+TEST_CASE("a value that waits to be buffered is reserved whole, before requests that are not begun yet") {
+  Limits limits;
+  limits.max_answer_memory = 10 * limits.AnswerSize();
+  AnswerMemory memory(limits);
+  AnswerAccount first(memory), later(memory), other(memory);
+  CHECK_FALSE(later.TryReserve(6 * limits.AnswerSize(), false));  // half is left to the answers before it
+  CHECK(memory.HasRoom());
+  other.Reserve(5 * limits.AnswerSize());
+  CHECK_FALSE(first.TryReserve(6 * limits.AnswerSize(), true));
+  CHECK_FALSE(memory.HasRoom());
+  other.Release(limits.AnswerSize());
+  CHECK(first.TryReserve(6 * limits.AnswerSize(), true));
+  CHECK(memory.shared() == limits.max_answer_memory);
+  first.Release(6 * limits.AnswerSize());
+  CHECK(memory.HasRoom());
+  CHECK_FALSE(first.TryReserve(7 * limits.AnswerSize(), true));
+  first.DropPending();
+  CHECK(memory.HasRoom());
+}
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -75,7 +75,11 @@
   void Deliver(std::uint64_t ticket, const Answer& answer) override {
     answers[ticket].push_back(answer.kind);
   }
-  void StartStream(std::uint64_t ticket, std::size_t length) override { opened[ticket] = length; }
+  StreamMode StartStream(std::uint64_t ticket, std::size_t length) override {
+    opened[ticket] = length;
+    return stream_mode;
+  }
+  void DropStream(std::uint64_t ticket) override { pieces.erase(ticket); }
   void SendChunk(std::uint64_t ticket, std::string_view bytes) override { pieces[ticket].append(bytes); }
   bool IsConnected(std::uint64_t ticket) const override { return !gone.contains(ticket); }
   std::size_t StreamRoom(std::uint64_t ticket) override { return pieces.contains(ticket) ? 1 : 0; }
@@ -98,6 +102,7 @@
   Engine* engine = nullptr;
   std::set<std::uint64_t> gone;
   bool fail_at_once = false, sent_completely = true;
+  StreamMode stream_mode = StreamMode::kSend;
   std::map<std::uint64_t, std::vector<AnswerKind>> answers;
   std::map<std::uint64_t, std::size_t> opened;
   std::map<std::uint64_t, std::string> pieces;
--- a/tests/net/shutdown_test.cpp
+++ b/tests/net/shutdown_test.cpp
@@ -10,16 +10,6 @@
 using namespace brasswood::testing;
 using namespace std::chrono_literals;
 
-namespace {
-
-// Whether a connection to this listener arrives within 200 ms.
-bool IsConnectedTo(const Listener& listener) {
-  pollfd p{listener.get(), POLLIN, 0};
-  return ::poll(&p, 1, 200) == 1;
-}
-
-}  // namespace
-
 // Guards against starting work in a process that is about to be killed: connections that wait for an
 // answer, and those that have not sent a command yet, stay open after the listener is closed.
 TEST_CASE("SIGTERM: a command read after the last moment for new work is refused and reaches no server") {
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -124,6 +124,12 @@
   std::string address_;
 };
 
+// Whether a connection to this listener arrives within 200 ms.
+inline bool IsConnectedTo(const Listener& listener) {
+  pollfd p{listener.get(), POLLIN, 0};
+  return ::poll(&p, 1, 200) == 1;
+}
+
 // The index of the first of these listeners to receive a connection.
 inline std::size_t FirstConnected(const std::vector<const Listener*>& listeners) {
   std::vector<pollfd> polled;
