End the connections of a drained router that always have a command open

Cause: while draining, ClientFrontEnd::Advance ended a connection only when it was idle, and nothing ended the reading of further commands. Ruled out: the drain not reaching the front (`mn` said no 41 times), and an idle moment that was missed (record.txt: two or three commands open throughout).

Change: core/connection_end.h, free of I/O, says what is owed for each command when a connection ends, for every reason, and what a drain or a shutdown admits: 0.5 s of new work, then refusals while an answer is due, then the end. Unread commands are no longer discarded before the sending side is shut: what is read by then is owed an answer. CancelPending takes what is owed from the same table.

--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -100,6 +100,13 @@
   // An answer of discovery whose first bytes have come must go on within this.
   Duration discovery_answer_timeout{std::chrono::milliseconds(1500)};
 
+  // Drain by operators, who expect that 4 s after the call no connection is open that is still being used.
+
+  Duration drain_accept_time{
+      std::chrono::milliseconds(500)};  // new work is accepted this long on connections that are in use
+  // Every command that is accepted during a drain is answered this long after the drain began.
+  Duration drain_answer_time{std::chrono::milliseconds(3750)};
+
   // Shutdown.
 
   Duration shutdown_accept_time{
--- a/src/net/client_answers.cpp
+++ b/src/net/client_answers.cpp
@@ -186,7 +186,7 @@
     }
   }
   const bool sent = client.first_number != first_number;
-  if (((client.read_paused && sent) || client.closing || shutdown_.begun() || draining_) &&
+  if (((client.read_paused && sent) || client.closing || shutdown_.begun() || drain_.active()) &&
       !client.advance_due) {
     client.advance_due = true;
     loop_.deadlines().Set(loop_.Now(), [this, id = client.id] { Advance(id); });
--- a/src/net/client_close.cpp
+++ b/src/net/client_close.cpp
@@ -1,6 +1,7 @@
 // How client connections end: idle, timed out, evicted, drained, closing, closed.
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <utility>
 #include <vector>
@@ -19,10 +20,10 @@
   // A client that waits for an answer, or is still receiving one, has no timeout here.
   if (!client.pending.empty() || evbuffer_get_length(bufferevent_get_output(client.buffer.get())) != 0)
     return;
-  const Time at = !client.used                      ? client.last_active + limits_.command_timeout
+  const Time at = !client.used()                    ? client.last_active + limits_.command_timeout
                   : client.partial_since != Time(0) ? client.partial_since + limits_.command_timeout
                                                     : loop_.Now() + limits_.client_idle_timeout;
-  if (client.used && client.partial_since == Time(0)) EnterIdleQueue(client);
+  if (client.used() && client.partial_since == Time(0)) EnterIdleQueue(client);
   client.deadline = loop_.deadlines().Set(at, [this, id = client.id] { OnTimeout(id); });
 }
 
@@ -75,9 +76,9 @@
     return;
   }
   if (client.partial_since == Time(0)) {
-    counters_.silent += !client.used;
-    return CloseGracefully(client,
-                           client.used ? ClientEndReason::kIdleTimeout : ClientEndReason::kCommandTimeout);
+    counters_.silent += !client.used();
+    return CloseGracefully(
+        client, client.used() ? ClientEndReason::kIdleTimeout : ClientEndReason::kCommandTimeout);
   }
   ++counters_.silent;
   MarkClosing(client, ClientEndReason::kCommandTimeout);
@@ -98,33 +99,66 @@
   client.close_reason = why;
 }
 
-// Performs a lingering close of a client that is closing. Guards against error messages that never arrive:
-// closing a socket with unread input sends a reset, which can destroy an answer in transit. So further
-// input is read and discarded, the answers are sent, the sending side is shut, and the socket is closed
-// when the client closes, or after Limits::client_close_timeout.
+// What the commands of this client get while the router drains or shuts down.
+Admission ClientFrontEnd::Admit(const Client& client) const {
+  const Time now = loop_.Now();
+  const bool forwarded_open = std::any_of(client.pending.begin(), client.pending.end(),
+                                          [](const Pending& pending) { return pending.ticket != 0; });
+  const ConnectionState connection{client.first_command_at, forwarded_open};
+  if (shutdown_.begun() && !shutdown_.AcceptsWork(now)) return AdmitWithoutNewWork(connection);
+  return drain_.Admit(connection, now);
+}
+
+// Whether the connection ends now because the router drains or shuts down: once it is idle, or once no new
+// work is taken and all commands that were read are answered. A new connection may first send a command.
+// (libevent reports the empty output of a new connection as written, which would close it before its first
+// command.) Guards against commands that cross the end of a connection that becomes idle anyway: as long as
+// new work is taken, a command that waits in the kernel is read and answered first.
+bool ClientFrontEnd::ShouldEnd(const Client& client) const {
+  if (!(shutdown_.begun() || drain_.active()) || !client.used()) return false;
+  if (Admit(client) == Admission::kEnd) return client.pending.empty() && !client.read_paused;
+  return IsIdle(client) && !HasUnreadInput(bufferevent_getfd(client.buffer.get()));
+}
+
+// Performs a lingering close of a client that is closing. Guards against answers that never arrive: closing
+// a socket with unread input sends a reset, which can destroy an answer in transit. So reading stops, the
+// answers are sent, the sending side is shut, and further input is discarded until the client closes, or
+// Limits::client_close_timeout has passed. Input that is no command is discarded from the start, because
+// its client may read nothing before all of it is sent.
 void ClientFrontEnd::LingeringClose(Client& client) {
-  if (!client.discard) {
+  if (!client.reading_ended) {
+    client.reading_ended = true;
     LeaveIdleQueue(client);
     bufferevent_disable(client.buffer.get(), EV_READ);
     evbuffer* in = bufferevent_get_input(client.buffer.get());
     evbuffer_drain(in, evbuffer_get_length(in));
-    client.discard.reset(event_new(
-        loop_.base(), bufferevent_getfd(client.buffer.get()), EV_READ | EV_PERSIST,
-        [](evutil_socket_t, short, void* p) {
-          static_cast<Client*>(p)->front->DiscardInput(*static_cast<Client*>(p));
-        },
-        &client));
-    event_add(client.discard.get(), nullptr);
     loop_.deadlines().Cancel(client.deadline);
+    if (ObligationsAt(client.close_reason).input_is_commands) {
+      ScheduleCloseCheck(client);
+    } else {
+      StartDiscarding(client);
+    }
   }
   if (client.write_shut || !IsIdle(client)) return;
   client.write_shut = true;
   ::shutdown(bufferevent_getfd(client.buffer.get()), SHUT_WR);
+  StartDiscarding(client);
   client.deadline =
       loop_.deadlines().Set(loop_.Now() + limits_.client_close_timeout,
                             [this, id = client.id] { Close(id, ClientEndReason::kClientStalled); });
 }
 
+void ClientFrontEnd::StartDiscarding(Client& client) {
+  if (client.discard) return;
+  client.discard.reset(event_new(
+      loop_.base(), bufferevent_getfd(client.buffer.get()), EV_READ | EV_PERSIST,
+      [](evutil_socket_t, short, void* p) {
+        static_cast<Client*>(p)->front->DiscardInput(*static_cast<Client*>(p));
+      },
+      &client));
+  event_add(client.discard.get(), nullptr);
+}
+
 // MSG_TRUNC lets the kernel discard the bytes without copying them: tens of megabytes may arrive.
 void ClientFrontEnd::DiscardInput(Client& client) {
   constexpr std::size_t kMaxBytesPerCall = 1 << 20;
@@ -164,11 +198,10 @@
 // where a command that was read loses its answer, which is owed to every client that has not ended the
 // connection itself.
 void ClientFrontEnd::CancelPending(Client& client, ClientEndReason why) {
-  const bool by_client = why == ClientEndReason::kClosedByClient || why == ClientEndReason::kClientStalled;
   const std::string_view unanswered =
       client.pending.empty() ? std::string_view() : client.pending.front().id;
-  counters_.invariants.Expect(by_client || client.pending.empty(), Invariant::kAnsweredBeforeClose,
-                              unanswered);
+  counters_.invariants.Expect(client.pending.empty() || !ObligationsAt(why).answers,
+                              Invariant::kAnsweredBeforeClose, unanswered);
   const std::deque<Pending> pending = std::exchange(client.pending, {});
   client.first_number += pending.size();
   client.answers.DropPending();
@@ -187,9 +220,10 @@
 }
 
 void ClientFrontEnd::SetDraining(bool on) {
-  if (draining_ == on) return;
-  draining_ = on;
-  if (on) AdvanceAll();
+  if (drain_.active() == on) return;
+  if (!on) return drain_.End();
+  drain_.Begin(loop_.Now());
+  AdvanceAll();
 }
 
 // The ids are copied first, because Advance may remove clients from the table.
--- a/src/net/client_commands.cpp
+++ b/src/net/client_commands.cpp
@@ -51,8 +51,8 @@
       break;
     }
     evbuffer_drain(bufferevent_get_input(client.buffer.get()), used);
-    client.used = true;
     client.last_active = loop_.Now();
+    if (!client.used()) client.first_command_at = client.last_active;
     client.reused = client.reused || client.idle_queue != nullptr;
     LeaveIdleQueue(client);
     switch (command.verb) {
@@ -134,7 +134,12 @@
     ++counters_.bad_commands;
     return Reply(client, "CLIENT_ERROR " + error + "\r\n");
   }
-  if (!shutdown_.AcceptsWork(loop_.Now())) return RefuseRequest(client, request.content->id);
+  if (Admit(client) != Admission::kForward) return RefuseRequest(client, request.content->id);
+  if (drain_.active()) {
+    const Time now = loop_.Now();
+    const Time by = drain_.AnswerBy({client.first_command_at, false}, now);
+    request.wait = std::min(request.wait, std::max(Duration(0), by - request.arrived));
+  }
   Pending pending;
   pending.id = request.content->id;
   if (HasAnswersDue(client)) {
@@ -154,10 +159,10 @@
 }
 
 // Refuses a request read after the last moment for new work. Guards against starting work in a process that
-// is about to be killed.
+// is about to be killed, and against connections that a drain does not end because they are always in use.
 void ClientFrontEnd::RefuseRequest(Client& client, const std::string& request) {
   ++counters_.refused_stopping;
-  LogLine(Level::kDebug) << "request " << request << " refused: the router is shutting down";
+  LogLine(Level::kDebug) << "request " << request << " refused: the router drains or shuts down";
   std::string text;
   AppendAnswer(text, request, {AnswerKind::kRefused, {}, {}}, limits_);
   Reply(client, std::move(text));
--- a/src/net/client_front_end.cpp
+++ b/src/net/client_front_end.cpp
@@ -33,7 +33,8 @@
       counters_(counters),
       listener_(nullptr, evconnlistener_free),
       answer_memory_(limits),
-      shutdown_(limits) {
+      shutdown_(limits),
+      drain_(limits) {
   answer_memory_.OnRoom([this] { ScheduleResume(); });
   idle_used_once_.max_size = limits_.max_idle_clients;
   idle_reused_.max_size = limits_.max_idle_reused_clients;
@@ -84,7 +85,7 @@
     return -1;
   if (client.partial_since != Time(0))
     return now - client.partial_since > limits_.evict_silent_after ? 3 : -1;
-  if (!client.used) return now - client.last_active > limits_.evict_silent_after ? 1 : -1;
+  if (!client.used()) return now - client.last_active > limits_.evict_silent_after ? 1 : -1;
   return 2;
 }
 
@@ -214,20 +215,15 @@
   if (found == nullptr) return;
   Client& client = **found;
   client.advance_due = false;
+  if (client.value_truncated && !client.pending.empty()) CancelPending(client, client.close_reason);
+  if (client.closing) return LingeringClose(client);
   if (client.read_paused && !IsFull(client)) {
     client.read_paused = false;
     bufferevent_enable(client.buffer.get(), EV_READ);
     client.read_resumed = true;
     return ReadCommands(client);
   }
-  if (client.value_truncated && !client.pending.empty()) CancelPending(client, client.close_reason);
-  if (client.closing) return LingeringClose(client);
-  // While draining or shutting down, a connection closes once it is idle, but a new one may first send a
-  // command. (libevent reports the empty output of a new connection as written, which would close it before
-  // its first command.) Guards against a close while a command waits in the kernel: the connection would be
-  // reset, and answers in transit lost. That command is read and answered first.
-  const bool ending = shutdown_.begun() || draining_;
-  if (ending && client.used && IsIdle(client) && !HasUnreadInput(bufferevent_getfd(client.buffer.get()))) {
+  if (ShouldEnd(client)) {
     return CloseGracefully(client,
                            shutdown_.begun() ? ClientEndReason::kShutdown : ClientEndReason::kDraining);
   }
--- a/src/net/client_front_end.h
+++ b/src/net/client_front_end.h
@@ -15,6 +15,7 @@
 #include "config/limits.h"
 #include "config/settings.h"
 #include "core/answer_memory.h"
+#include "core/connection_end.h"
 #include "core/engine.h"
 #include "core/shutdown.h"
 #include "core/slots.h"
@@ -42,12 +43,13 @@
   void Stop(std::function<void()> done);
 
   // Drains the router for operators: `mn` is answered as not ready, and each connection closes once it is
-  // idle, with all answers sent and no further command received. New connections are still accepted and
-  // served in the same way. `on` false ends the drain.
+  // idle, with all answers sent and no further command received; one that always has a command open is
+  // refused further ones (core/connection_end.h). New connections are still accepted and served in the same
+  // way. `on` false ends the drain.
   void SetDraining(bool on);
   // Whether `mn` is answered as ready: not while draining. After SIGTERM it still is, for the half second
   // in which the listener stays open; load balancers notice the end of the process instead.
-  bool ReportsReady() const { return !draining_ && engine_.ready(); }
+  bool ReportsReady() const { return !drain_.active() && engine_.ready(); }
   // Whether this process is ready to serve: not while draining, and not after SIGTERM.
   bool Ready() const { return ReportsReady() && !shutdown_.begun(); }
 
@@ -87,11 +89,12 @@
     AnswerAccount answers;           // the bytes in `pending` and in the output buffer
     Time last_active{0};             // when it last sent a command, or connected
     Time partial_since{0};           // when the command it is sending began; 0: it is not sending one
-    bool used = false;               // has sent a command
+    Time first_command_at{0};        // when its first command was read; 0: it has sent none
     // Of a client that may have waited in the accept queue of a paused listener: the earliest time at which
     // the data of its first read can have arrived; otherwise 0.
     Time queued_since{0};
-    bool closing = false;  // further commands are ignored; it closes once everything is answered
+    bool used() const { return first_command_at != Time(0); }
+    bool closing = false;  // no further commands are read; it closes once everything is answered
     ClientEndReason close_reason = ClientEndReason::kClosedByClient;  // of a client that is closing
     bool write_shut = false;       // everything is answered and the sending side was shut
     bool read_paused = false;      // not read until some of its answers were sent
@@ -99,6 +102,7 @@
     bool read_resumed = false;     // data read now may have waited for the client's own answers
     bool advance_due = false;      // a call of Advance is scheduled
     bool value_truncated = false;  // nothing may be sent behind the part of a value that was sent
+    bool reading_ended = false;    // of a client that is closing
     EventPtr discard;              // of a client that is closing: reads further input and discards it
     std::size_t discarded_bytes = 0;
     IdleQueue* idle_queue = nullptr;  // null unless idle
@@ -148,6 +152,9 @@
   int EvictionRank(const Client& client, Time now) const;
   void Close(std::uint64_t id, ClientEndReason why);
   void CancelPending(Client& client, ClientEndReason why);
+  Admission Admit(const Client& client) const;
+  bool ShouldEnd(const Client& client) const;
+  void StartDiscarding(Client& client);
   void RefuseRequest(Client& client, const std::string& request);
   bool AcceptQueued();
   void StopListening();
@@ -175,7 +182,7 @@
   IdleQueue idle_used_once_, idle_reused_;  // by Client::reused
   Shutdown shutdown_;
   bool listener_closed_ = false;
-  bool draining_ = false;
+  Drain drain_;
   std::function<void()> on_stopped_;
 };
 
--- a/tests/net/admin_test.cpp
+++ b/tests/net/admin_test.cpp
@@ -440,6 +440,43 @@
   CHECK(again.ReadLine() == "MN\r\n");
 }
 
+// Guards against a connection that a drain never ends, because it has a command open at each moment
+// (review/10).
+TEST_CASE("draining: a connection that always has a command open is ended, and all it sent is answered") {
+  AdminRouter r;
+  // The origin's connection on which a publish was forwarded; none if that does not happen.
+  const auto next_attempt = [&r](Fd& idle) -> std::optional<Fd> {
+    constexpr int kWaitMs = 1500;
+    pollfd from[] = {{r.origin.get(), POLLIN, 0}, {idle.get(), POLLIN, 0}};
+    if (::poll(from, 2, kWaitMs) < 1) return std::nullopt;
+    Fd attempt = from[1].revents != 0 ? std::move(idle) : r.origin.Accept();
+    REQUIRE(attempt.ReadUntil("\r\n\r\nbody").starts_with("PUT "));
+    return attempt;
+  };
+  Fd client = r.Connect(r.process), idle;
+  int sent = 0;
+  const auto send = [&] { client.Write(PublishCommand("p", "c" + std::to_string(++sent), "body")); };
+  send();
+  Fd attempt = *next_attempt(idle);
+  REQUIRE(Status(Post(r.process.admin_address, "/v1/router/drain")) == 200);
+  const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(4);
+  // Each command is sent before the one in front of it is answered.
+  bool forwarded = true;
+  while (forwarded && std::chrono::steady_clock::now() < limit) {
+    send();
+    std::optional<Fd> next = next_attempt(idle);
+    attempt.Write(HttpResponse("receipt"));
+    CHECK(client.ReadLine() == "HD Oc" + std::to_string(sent - 1) + " creceipt\r\n");
+    idle = std::move(attempt);
+    forwarded = next.has_value();
+    if (forwarded) attempt = std::move(*next);
+  }
+  REQUIRE_FALSE(forwarded);
+  CHECK(client.ReadLine().starts_with("SERVER_ERROR busy"));
+  CHECK(client.PeerClosed());
+  CHECK(std::chrono::steady_clock::now() < limit);
+}
+
 TEST_CASE("two processes of one router divide its limits, and a single one has all of them") {
   Limits whole;
   whole.max_server_connections = 168;
--- a/tests/net/shutdown_test.cpp
+++ b/tests/net/shutdown_test.cpp
@@ -5,8 +5,10 @@
 #include <string>
 #include <thread>
 
+#include "core/connection_end.h"
 #include "world.h"
 
+using namespace brasswood;
 using namespace brasswood::testing;
 using namespace std::chrono_literals;
 
@@ -38,3 +40,23 @@
   CHECK(router.process.Wait() == 0);
   CHECK(std::chrono::steady_clock::now() - begun < 6s);
 }
+
+// Guards against connections that are still in use 4 s after a drain of the router, when operators expect
+// them to be gone.
+TEST_CASE("a drain refuses new work after its first moments, and bounds the time of what it forwards") {
+  const Limits limits;
+  Drain drain(limits);
+  const ConnectionState fresh{}, used{50s, false}, busy{50s, true}, late{102s, true};
+  CHECK(drain.Admit(busy, 100s) == Admission::kForward);
+  drain.Begin(100s);
+  const Time last = 100s + limits.drain_accept_time;
+  CHECK(drain.Admit(used, last - 1ms) == Admission::kForward);
+  CHECK(drain.Admit(busy, last) == Admission::kRefuse);
+  CHECK(drain.Admit(used, last) == Admission::kEnd);
+  CHECK(drain.Admit(fresh, 110s) == Admission::kForward);  // the first command of a new connection
+  CHECK(drain.Admit(late, last) == Admission::kForward);
+  CHECK(drain.Admit(late, 103s) == Admission::kRefuse);
+  CHECK(drain.AnswerBy(busy, 100s) < 104s);
+  drain.End();
+  CHECK(drain.Admit(busy, 110s) == Admission::kForward);
+}
