Let only the attempt that sends a value end the client's answer

Cause: Engine::FinishAttempt answered the request with any attempt that succeeded, whichever one was streaming, and ClientFrontEnd::Deliver took any value for the end of the stream. A second attempt could also be sent after the first byte, or cut the value through the module's Fail or Refuse.

The others are aborted then, none is sent (verdict answer_begun), their ends mean nothing, and the module cannot end the answer. A value says that it completes the streamed one, and the front end checks that all bytes came.

--- a/src/base/send_verdict.h
+++ b/src/base/send_verdict.h
@@ -20,11 +20,12 @@
   kServerUnknown,    // the server is not listed
   kServerDraining,   // the server drains or was removed, and half of the grace period is over
   kServerMoved,      // the connection leads to the server's former address
+  kAnswerBegun,      // the client already receives the answer of another attempt
   kCount,
 };
 inline constexpr std::array<const char*, static_cast<std::size_t>(SendVerdict::kCount)> kSendVerdictNames =
-    {"allowed",     "request_ended", "client_gone",    "too_late",        "attempts_spent",
-     "attempt_out", "may_have_run",  "server_unknown", "server_draining", "server_moved"};
+    {"allowed",      "request_ended",  "client_gone",     "too_late",     "attempts_spent", "attempt_out",
+     "may_have_run", "server_unknown", "server_draining", "server_moved", "answer_begun"};
 
 }  // namespace brasswood
 
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -209,13 +209,17 @@
 // ---- The module's actions ----
 
 void Engine::Execute(const beechledge::Refuse& a) {
-  if (Request* request = requests_.Find(a.id))
-    AnswerRequest(*request, {AnswerKind::kRefused, {}, a.retry_after});
-  RemoveIfDone(a.id);
+  AnswerFromModule(a.id, {AnswerKind::kRefused, {}, a.retry_after});
 }
-void Engine::Execute(const beechledge::Fail& a) {
-  if (Request* request = requests_.Find(a.id)) AnswerRequest(*request, {AnswerKind::kFailed, {}, {}});
-  RemoveIfDone(a.id);
+void Engine::Execute(const beechledge::Fail& a) { AnswerFromModule(a.id, {AnswerKind::kFailed, {}, {}}); }
+
+// Guards against a value that is cut although its server still sends it: once the client receives it, its
+// attempt owns the answer.
+void Engine::AnswerFromModule(RequestId id, const Answer& answer) {
+  Request* request = requests_.Find(id);
+  if (request == nullptr || request->response.committed()) return;
+  AnswerRequest(*request, answer);
+  RemoveIfDone(id);
 }
 void Engine::Execute(const beechledge::Cancel& a) {
   const Request* request = requests_.Find(a.id);
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -131,6 +131,7 @@
     Time until{0};          // an answer after this is useless, unless its value is being sent to the client
     Time send_deadline{0};  // its last byte must be sent before this
     Deadlines::Id deadline;
+    bool sent_whole = false;  // its last byte was sent
   };
 
   void Queue(beechledge::Event event);
@@ -153,10 +154,13 @@
   void HoldBack(const beechledge::Send& a, int attempt, bool complete, SendVerdict why);
   void MarkEnded(Request& request);
   void AbortAttempt(AttemptId id, beechledge::Result why);
+  enum class Which { kAll, kNotSent };
+  void AbortOthers(RequestId id, AttemptId owner, Which which);
+  void AnswerFromModule(RequestId id, const Answer& answer);
   void RestartStallTimer(const Request& request, Attempt& attempt, AttemptId id);
   void FailRequest(RequestId id);
   void FinishAttempt(AttemptId id, AttemptResult end);
-  void ApplyEffect(Request& request, AttemptId id, AttemptResult& end);
+  AttemptEffect ApplyEffect(Request& request, AttemptId id, AttemptResult& end);
   void AnswerRequest(Request& request, const Answer& answer);
   void RemoveIfDone(RequestId id);
   void ForgetRemovedServers();
--- a/src/core/engine_attempts.cpp
+++ b/src/core/engine_attempts.cpp
@@ -42,6 +42,7 @@
 SendVerdict Engine::EvaluateAttempt(const Request* request, ServerId server, int attempt) const {
   SendFacts facts;
   facts.request_open = request != nullptr && !request->ended;
+  facts.answer_begun = request != nullptr && request->response.committed();
   facts.server_known = server < directory_.size();
   if (!facts.request_open || !facts.server_known) return EvaluateSend(facts);
   facts.now = now_();
@@ -110,7 +111,7 @@
     request->repeat_by = std::min(request->repeat_by,
                                   attempt.sent + settings_.classes[of].window - limits_.transit_allowance);
   }
-  ApplyEffect(*request, id, end);
+  const AttemptEffect effect = ApplyEffect(*request, id, end);
   beechledge::Outcome outcome;
   outcome.id = attempt.request;
   outcome.server = attempt.server;
@@ -121,26 +122,43 @@
   outcome.note = end.note;
   outcome.report = end.report;
   Queue(std::move(outcome));
+  if (effect == AttemptEffect::kAnswers) AbortOthers(attempt.request, id, Which::kNotSent);
   RemoveIfDone(attempt.request);
 }
 
+// Guards against attempts that are sent although another one owns the client's answer: a request that waits
+// in an output buffer would still be written. kNotSent: those that were sent go on, because the module
+// learns from their answers. Call it once the module's event about the owner is queued, so that the module
+// retries none of them.
+void Engine::AbortOthers(RequestId id, AttemptId owner, Which which) {
+  const std::vector<AttemptId> in_flight = requests_.Find(id)->in_flight;
+  for (const AttemptId other : in_flight) {
+    if (other == owner || (which == Which::kNotSent && attempts_.Find(other)->sent_whole)) continue;
+    AbortAttempt(other, Result::kCancelled);
+  }
+}
+
 // Gives the request's client what the end of this attempt means for it. The module does not retry a request
 // whose value is cut, and its client has to see that; a value that was only buffered may be retried.
-void Engine::ApplyEffect(Request& request, AttemptId id, AttemptResult& end) {
-  switch (request.response.EffectOf(id, end.result == Result::kOk)) {
+AttemptEffect Engine::ApplyEffect(Request& request, AttemptId id, AttemptResult& end) {
+  const AttemptEffect effect = request.response.EffectOf(id, end.result == Result::kOk);
+  switch (effect) {
     case AttemptEffect::kAnswers: {
       const AnswerKind kind = request.content->write ? AnswerKind::kReceipt : AnswerKind::kValue;
-      return AnswerRequest(request, {kind, std::move(end.body), {}});
+      AnswerRequest(request, {kind, std::move(end.body), {}, end.streamed});
+      break;
     }
     case AttemptEffect::kTruncates:
-      return AnswerRequest(request, {AnswerKind::kFailed, {}, {}});
+      AnswerRequest(request, {AnswerKind::kFailed, {}, {}});
+      break;
     case AttemptEffect::kDropsBuffer:
       request.response.DropBuffer();
       if (!request.ended) request.front->DropStream(request.ticket);
-      return;
+      break;
     case AttemptEffect::kNone:
-      return;
+      break;
   }
+  return effect;
 }
 
 bool Engine::StreamStarted(AttemptId id, std::size_t length) {
@@ -159,8 +177,11 @@
   }
   request->response.Start(id, mode);
   RestartStallTimer(*request, *attempt, id);
-  Push(beechledge::FirstByte{request_id, attempt->server, attempt->number, now_() - attempt->sent,
-                             request->response.committed()});
+  const bool committed = request->response.committed();
+  Queue(beechledge::FirstByte{request_id, attempt->server, attempt->number, now_() - attempt->sent,
+                              committed});
+  if (committed) AbortOthers(request_id, id, Which::kAll);
+  Pump();
   return true;
 }
 
@@ -205,6 +226,7 @@
   SendFacts facts;
   facts.request_open = request != nullptr && !request->ended;
   if (!facts.request_open) return EvaluateSend(facts);
+  facts.answer_begun = request->response.OwnedByOther(id);
   facts.client_present = request->front->IsConnected(request->ticket);
   facts.now = now_();
   facts.send_by = attempt->send_deadline;
@@ -233,9 +255,10 @@
 // allowed them, and the process may have been delayed in between.
 void Engine::AttemptSent(AttemptId id) {
   ++counters_.upstream_tries;
-  const Attempt* attempt = attempts_.Find(id);
+  Attempt* attempt = attempts_.Find(id);
   const Request* request = attempt == nullptr ? nullptr : requests_.Find(attempt->request);
   if (request == nullptr) return;
+  attempt->sent_whole = true;
   Invariants& invariants = counters_.invariants;
   const std::string& who = request->content->id;
   const Time now = now_();
@@ -244,7 +267,8 @@
   const bool serving = directory_.Serving(attempt->server, now, grace) &&
                        availability_record_.MaySend(server.uid, now, grace);
   const bool others_end = request->in_flight.size() == 1 || settings_.allowed.parallel_tries;
-  invariants.Expect(!request->ended, Invariant::kSentForOpenRequest, who);
+  const bool answer_due = !request->ended && !request->response.OwnedByOther(id);
+  invariants.Expect(answer_due, Invariant::kSentForOpenRequest, who);
   invariants.Expect(now < attempt->send_deadline + Invariants::kMaxSendDelay, Invariant::kSentInTime, who);
   invariants.Expect(serving, Invariant::kSentToServingServer, who);
   invariants.Expect(others_end, Invariant::kOneAttemptAtATime, who);
--- a/src/core/interfaces.h
+++ b/src/core/interfaces.h
@@ -44,11 +44,11 @@
   AnswerKind kind = AnswerKind::kFailed;
   std::string body;         // the value or receipt
   Duration retry_after{0};  // set for a refusal; 0: not stated
+  bool streamed = false;    // of a value: it completes the one that was streamed, and the body is empty
 };
 
 // A large value is streamed: StartStream with its length, then SendChunk for each chunk, then Deliver.
-// Deliver with kValue completes it (its body is empty, because the value was sent in chunks). The front end
-// chooses the mode of the stream:
+// Deliver with a streamed kValue completes it. The front end chooses the mode of the stream:
 //  - kSend: the chunks go to the client as they come. Any other answer then means that the value cannot be
 //    completed: the front end must make that visible to its client, by closing the connection once the
 //    chunks received so far are sent, and must not send a second answer.
--- a/src/core/send_guard.h
+++ b/src/core/send_guard.h
@@ -12,6 +12,7 @@
 // The state of an attempt, its request and its server at the time of the check.
 struct SendFacts {
   bool request_open = false;
+  bool answer_begun = false;  // the client receives the answer of another attempt
   bool client_present = true;
   Time now{0};
   Time send_by{0};  // the last byte must be sent before this
@@ -26,6 +27,7 @@
 
 inline SendVerdict EvaluateSend(const SendFacts& facts) {
   if (!facts.request_open) return SendVerdict::kRequestEnded;
+  if (facts.answer_begun) return SendVerdict::kAnswerBegun;
   if (!facts.server_known) return SendVerdict::kServerUnknown;
   if (!facts.client_present) return SendVerdict::kClientGone;
   if (facts.now >= facts.send_by) return SendVerdict::kTooLate;
--- a/src/net/client_answers.cpp
+++ b/src/net/client_answers.cpp
@@ -37,7 +37,9 @@
   if (pending == nullptr) return;
   counters_.invariants.Expect(!pending->answered, Invariant::kAnsweredOnce, pending->id);
   pending->ticket = 0;
-  const bool completes = pending->stream && pending->missing == 0 && answer.kind == AnswerKind::kValue;
+  const bool completes = pending->stream && pending->missing == 0 && answer.streamed;
+  const bool of_another = pending->sends_stream() && answer.kind == AnswerKind::kValue && !completes;
+  counters_.invariants.Expect(!of_another, Invariant::kAnsweredOnce, pending->id);
   if (pending->buffers_stream() && !completes) ClearStream(*client, *pending);
   client->answers.Release(std::exchange(pending->reserved, 0));
   const std::size_t before = pending->text.size();
