Refuse commands that cross the end of a connection instead of leaving them unread

Need: from the last moment for new work on, a connection of a drained or ending router ended as soon as its last answer was out, with a command unread in the kernel or read in part.

Change: such commands are read and refused for 0.5 s more (Limits::crossing_refuse_time); later ones stay unread. Client::read_resumed is reset once everything that had waited is read: since large values pause the reading of their connection, it would have switched off the kernel's time of the last byte for good on many connections.

--- a/src/config/limits.h
+++ b/src/config/limits.h
@@ -100,6 +100,10 @@
   // An answer of discovery whose first bytes have come must go on within this.
   Duration discovery_answer_timeout{std::chrono::milliseconds(1500)};
 
+  // After the last moment for new work of a drain or a shutdown, commands that cross the end of their
+  // connection are read and refused for this long. Later ones stay unread, so that it ends in any case.
+  Duration crossing_refuse_time{std::chrono::milliseconds(500)};
+
   // Drain by operators, who expect that 4 s after the call no connection is open that is still being used.
 
   Duration drain_accept_time{
--- a/src/core/connection_end.h
+++ b/src/core/connection_end.h
@@ -1,13 +1,14 @@
 // How the connections of clients end, whatever the reason: what is still owed for each command at that
 // moment. Free of I/O; the client front end carries it out.
 //
-// | a command that is                | gets | | -------------------------------- |
-// ------------------------------------------------------------------- | | unread, in the kernel | nothing:
-// its client sees the end and sends it again elsewhere       | | read, and not begun              | a
-// refusal, in its order                                             | | forwarded                        |
-// its answer, within its time                                         | | answered, and not sent yet | its
-// answer                                                          | | behind a value that is being sent |
-// nothing of it is read before the value is complete                 |
+// What happens to a command that at that moment is
+//  - unread, in the kernel: it is refused, as far as it can be read in time. Otherwise its client sees the
+//    connection end, and sends it again elsewhere.
+//  - read, but not begun: it is refused, in its order.
+//  - forwarded: it is answered, within its time.
+//  - answered, but not sent yet: its answer is sent.
+//  - behind a value that is being sent: it is unread, because nothing is read there before the value is
+//    complete.
 //
 // A client that has closed, or that reads nothing, is owed nothing. What follows a command that ends the
 // framing (a malformed one, quit) is not a command.
@@ -64,12 +65,15 @@
 struct ConnectionState {
   Time first_command_at{0};     // 0: it has sent none
   bool forwarded_open = false;  // the engine still has to answer a command
+  bool input_waits = false;     // a command is unread in the kernel, or was read in part
 };
 
-// The admission once no new work is taken.
-inline Admission AdmitWithoutNewWork(const ConnectionState& connection) {
+// The admission from `last_new_work` on.
+inline Admission AdmitAfter(Time last_new_work, const ConnectionState& connection, Time now,
+                            const Limits& limits) {
   const bool answers_due = connection.forwarded_open || connection.first_command_at == Time(0);
-  return answers_due ? Admission::kRefuse : Admission::kEnd;
+  const bool crossing = connection.input_waits && now < last_new_work + limits.crossing_refuse_time;
+  return answers_due || crossing ? Admission::kRefuse : Admission::kEnd;
 }
 
 // The drain of a router that its operators have asked for. Connections end as they become idle; one that
@@ -86,12 +90,11 @@
   Admission Admit(const ConnectionState& connection, Time now) const {
     if (!begun_ || connection.first_command_at == Time(0) || now < LastNewWork(connection))
       return Admission::kForward;
-    return AdmitWithoutNewWork(connection);
+    return AdmitAfter(LastNewWork(connection), connection, now, limits_);
   }
   // The time by which a command that is forwarded now has to be answered. Call it only while active.
-  Time AnswerBy(const ConnectionState& connection, Time now) const {
-    const Time first = connection.first_command_at == Time(0) ? now : connection.first_command_at;
-    return std::max(*begun_, first) + limits_.drain_answer_time;
+  Time AnswerBy(Time first_command_at) const {
+    return std::max(*begun_, first_command_at) + limits_.drain_answer_time;
   }
 
  private:
--- a/src/net/client_close.cpp
+++ b/src/net/client_close.cpp
@@ -101,11 +101,15 @@
 
 // What the commands of this client get while the router drains or shuts down.
 Admission ClientFrontEnd::Admit(const Client& client) const {
+  if (!shutdown_.begun() && !drain_.active()) return Admission::kForward;
   const Time now = loop_.Now();
   const bool forwarded_open = std::any_of(client.pending.begin(), client.pending.end(),
                                           [](const Pending& pending) { return pending.ticket != 0; });
-  const ConnectionState connection{client.first_command_at, forwarded_open};
-  if (shutdown_.begun() && !shutdown_.AcceptsWork(now)) return AdmitWithoutNewWork(connection);
+  const bool input_waits = evbuffer_get_length(bufferevent_get_input(client.buffer.get())) != 0 ||
+                           HasUnreadInput(bufferevent_getfd(client.buffer.get()));
+  const ConnectionState connection{client.first_command_at, forwarded_open, input_waits};
+  if (shutdown_.begun() && !shutdown_.AcceptsWork(now))
+    return AdmitAfter(shutdown_.last_new_work(), connection, now, limits_);
   return drain_.Admit(connection, now);
 }
 
--- a/src/net/client_commands.cpp
+++ b/src/net/client_commands.cpp
@@ -38,6 +38,7 @@
     if (got == Parsed::kMore) {
       const bool begun = evbuffer_get_length(bufferevent_get_input(client.buffer.get())) != 0;
       client.queued_since = Time(0);
+      if (client.read_resumed) client.read_resumed = HasUnreadInput(bufferevent_getfd(client.buffer.get()));
       if (!begun) client.partial_since = Time(0);
       if (begun && client.partial_since == Time(0)) client.partial_since = loop_.Now();
       if (begun) LeaveIdleQueue(client);  // a client that is sending a command, however slowly, is not idle
@@ -136,8 +137,7 @@
   }
   if (Admit(client) != Admission::kForward) return RefuseRequest(client, request.content->id);
   if (drain_.active()) {
-    const Time now = loop_.Now();
-    const Time by = drain_.AnswerBy({client.first_command_at, false}, now);
+    const Time by = drain_.AnswerBy(client.first_command_at);
     request.wait = std::min(request.wait, std::max(Duration(0), by - request.arrived));
   }
   Pending pending;
--- a/tests/net/shutdown_test.cpp
+++ b/tests/net/shutdown_test.cpp
@@ -53,10 +53,13 @@
   CHECK(drain.Admit(used, last - 1ms) == Admission::kForward);
   CHECK(drain.Admit(busy, last) == Admission::kRefuse);
   CHECK(drain.Admit(used, last) == Admission::kEnd);
+  const ConnectionState crossing{50s, false, true};
+  CHECK(drain.Admit(crossing, last) == Admission::kRefuse);
+  CHECK(drain.Admit(crossing, last + limits.crossing_refuse_time) == Admission::kEnd);
   CHECK(drain.Admit(fresh, 110s) == Admission::kForward);  // the first command of a new connection
   CHECK(drain.Admit(late, last) == Admission::kForward);
   CHECK(drain.Admit(late, 103s) == Admission::kRefuse);
-  CHECK(drain.AnswerBy(busy, 100s) < 104s);
+  CHECK(drain.AnswerBy(busy.first_command_at) < 104s);
   drain.End();
   CHECK(drain.Admit(busy, 110s) == Admission::kForward);
 }
