Name the scope of aborting attempts, and say what buffered values change in the account

Which::kAll at a call said nothing of what is chosen: AbortScope. The header of core/answer_memory.h claimed that the next answer of a connection never needs the shared memory; a value that is buffered whole does, and either has all of it or waits until its request's deadline at most.

--- a/src/core/answer_memory.h
+++ b/src/core/answer_memory.h
@@ -7,7 +7,9 @@
 // only if a whole answer fits into the shared memory, so that
 //  - answers never hold more than the shared memory plus one allowance for each connection, and
 //  - the shared memory always drains: each of its bytes belongs to a connection whose next answer needs
-//    none of it.
+//    none of it, or has all that it needs, or gives up waiting for it at its request's deadline.
+// The second and third apply to a large value that is buffered whole (TryReserve), because commands are
+// behind it.
 #ifndef BRASSWOOD_CORE_ANSWER_MEMORY_H_
 #define BRASSWOOD_CORE_ANSWER_MEMORY_H_
 
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -154,8 +154,8 @@
   void HoldBack(const beechledge::Send& a, int attempt, bool complete, SendVerdict why);
   void MarkEnded(Request& request);
   void AbortAttempt(AttemptId id, beechledge::Result why);
-  enum class Which { kAll, kNotSent };
-  void AbortOthers(RequestId id, AttemptId owner, Which which);
+  enum class AbortScope { kAll, kNotSent };
+  void AbortOthers(RequestId id, AttemptId owner, AbortScope scope);
   void AnswerFromModule(RequestId id, const Answer& answer);
   void RestartStallTimer(const Request& request, Attempt& attempt, AttemptId id);
   void FailRequest(RequestId id);
--- a/src/core/engine_attempts.cpp
+++ b/src/core/engine_attempts.cpp
@@ -122,7 +122,7 @@
   outcome.note = end.note;
   outcome.report = end.report;
   Queue(std::move(outcome));
-  if (effect == AttemptEffect::kAnswers) AbortOthers(attempt.request, id, Which::kNotSent);
+  if (effect == AttemptEffect::kAnswers) AbortOthers(attempt.request, id, AbortScope::kNotSent);
   RemoveIfDone(attempt.request);
 }
 
@@ -130,10 +130,10 @@
 // in an output buffer would still be written. kNotSent: those that were sent go on, because the module
 // learns from their answers. Call it once the module's event about the owner is queued, so that the module
 // retries none of them.
-void Engine::AbortOthers(RequestId id, AttemptId owner, Which which) {
+void Engine::AbortOthers(RequestId id, AttemptId owner, AbortScope scope) {
   const std::vector<AttemptId> in_flight = requests_.Find(id)->in_flight;
   for (const AttemptId other : in_flight) {
-    if (other == owner || (which == Which::kNotSent && attempts_.Find(other)->sent_whole)) continue;
+    if (other == owner || (scope == AbortScope::kNotSent && attempts_.Find(other)->sent_whole)) continue;
     AbortAttempt(other, Result::kCancelled);
   }
 }
@@ -180,7 +180,7 @@
   const bool committed = request->response.committed();
   Queue(beechledge::FirstByte{request_id, attempt->server, attempt->number, now_() - attempt->sent,
                               committed});
-  if (committed) AbortOthers(request_id, id, Which::kAll);
+  if (committed) AbortOthers(request_id, id, AbortScope::kAll);
   Pump();
   return true;
 }
