Fail a large value that is cut before its turn without ending its connection

Callers saw: two reads on one connection, the second one of a large value. While the first is still open, the server of the second one cuts its value. The client then got the first answer, the head and a part of the value, and the end of the connection; what it had sent behind was left unread.

Cause: ClientFrontEnd::Deliver took every value in mode kSend that is not completed for one that was sent in part. It is sent in part only if it is the front command's: until then its chunks are held. Ruled out: that the head has already left (Flush writes the front command's text alone).

Change: a value that is cut before its turn is dropped and answered as failed; only the front command's value is truncated, which ends the connection.

--- a/src/core/interfaces.h
+++ b/src/core/interfaces.h
@@ -49,9 +49,10 @@
 
 // A large value is streamed: StartStream with its length, then SendChunk for each chunk, then Deliver.
 // Deliver with a streamed kValue completes it. The front end chooses the mode of the stream:
-//  - kSend: the chunks go to the client as they come. Any other answer then means that the value cannot be
-//    completed: the front end must make that visible to its client, by closing the connection once the
-//    chunks received so far are sent, and must not send a second answer.
+//  - kSend: the chunks go to the client as they come, behind the answers before it. Any other answer then
+//    means that the value cannot be completed. If a part of it was sent, the front end must make that
+//    visible to its client, by closing the connection once the chunks received so far are sent, and must
+//    not send a second answer. Otherwise it drops them and sends the other answer.
 //  - kBuffer: nothing goes to the client before the value is complete, because the answers behind it could
 //    not be sent if it were cut. Any other answer replaces the chunks. DropStream drops them, and the
 //    request waits for another answer, which may be streamed too.
--- a/src/net/client_answers.cpp
+++ b/src/net/client_answers.cpp
@@ -40,12 +40,14 @@
   const bool completes = pending->stream && pending->missing == 0 && answer.streamed;
   const bool of_another = pending->sends_stream() && answer.kind == AnswerKind::kValue && !completes;
   counters_.invariants.Expect(!of_another, Invariant::kAnsweredOnce, pending->id);
-  if (pending->buffers_stream() && !completes) ClearStream(*client, *pending);
+  // Only the front command's value may have been sent in part.
+  const bool sent_in_part = pending->sends_stream() && pending == &client->pending.front();
+  if (pending->stream && !completes && !sent_in_part) ClearStream(*client, *pending);
   client->answers.Release(std::exchange(pending->reserved, 0));
   const std::size_t before = pending->text.size();
   if (completes) {
     pending->text.append("\r\n");
-  } else if (pending->sends_stream()) {
+  } else if (sent_in_part) {
     pending->truncated = true;
   } else {
     AppendAnswer(pending->text, pending->id, answer, limits_);
--- a/tests/net/pipelined_stream_test.cpp
+++ b/tests/net/pipelined_stream_test.cpp
@@ -95,6 +95,28 @@
   CHECK(CountersAtExit(router).find(" violations=0\n") != std::string::npos);
 }
 
+// Guards against a connection that ends, with what was sent on it, for a value of which its client has not
+// received anything.
+TEST_CASE("a large value that is cut before its turn fails alone, and its connection goes on") {
+  Listener server;
+  Router router(ServerEntryJson("s1", server.address(), "in_service"));
+  Fd client = router.Connect();
+  client.Write(ReadCommand("k", "a1"));
+  Fd first = AcceptRead(server, "a1");
+  client.Write(ReadCommand("l", "a2"));
+  Fd second = AcceptRead(server, "a2");
+  second.Write(Head("a2") + kHalf);
+  REQUIRE(::shutdown(second.get(), SHUT_WR) == 0);
+  CHECK(second.PeerClosed());  // the router has seen the end
+  first.Write("VA 1 Oa1\r\nx\r\n");
+  CHECK(client.ReadUntil("x\r\n") == "VA 1 Oa1\r\nx\r\n");
+  CHECK(client.ReadLine() == "SERVER_ERROR failed\r\n");
+  client.Write(PublishCommand("p", "a3", "body"));
+  AnswerPublish(router);
+  CHECK(client.ReadLine() == "HD Oa3 creceipt\r\n");
+  CHECK(CountersAtExit(router).find(" violations=0\n") != std::string::npos);
+}
+
 TEST_CASE(
     "a value with commands behind it that is too large to be buffered is failed, and they are answered") {
   constexpr int kMemoryMb = 32;
