Order operators' changes by time where their processes did not know of each other's

Callers saw: the first process of a replacement cannot store a suspension (its answer says so); 0.1 s later the server is resumed at the second process. Once the disk answers, the suspension comes back at both processes.

Cause: a version was one more than the highest that its process had seen. Of two changes made without sight of each other that of the process with more changes won, or that with the greater id, whichever was made first. Ruled out: the late write as such (a state is merged into the file, not written over it).

Change: a version is also at least the time of the change (a hybrid logical clock; the processes of a router run on one machine, and their clocks do not step). Causality holds as before: a change exceeds all that its process has seen. Versions in the upper half of the range are refused, so that a damaged file cannot use them up.

The merging test now draws a clock for each change; its checks are the same. The calls of the others name a ChangeOrigin in place of a string; one more bad line in the format's test.

--- a/src/admin/operator_state.cpp
+++ b/src/admin/operator_state.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -11,6 +12,8 @@
 constexpr std::string_view kHeader = "brasswood operator state 2";
 constexpr std::string_view kFormerHeader = "brasswood operator state 1";
 constexpr std::string_view kEnd = "end";
+// Half of the range: a damaged file cannot use up the versions of the changes to come.
+constexpr std::uint64_t kMaxVersionNumber = std::numeric_limits<std::uint64_t>::max() / 2;
 
 bool MergeFlag(OperatorFlag& into, const OperatorFlag& other) {
   const bool newer = other.version > into.version;
@@ -46,19 +49,20 @@
   const auto [end, error] =
       std::from_chars(version.data(), version.data() + version.size(), flag.version.number);
   if (error != std::errc() || end != version.data() + version.size()) return std::nullopt;
+  if (flag.version.number > kMaxVersionNumber) return std::nullopt;
   if (writer != "-") flag.version.writer = writer;
   return flag;
 }
 
 }  // namespace
 
-void OperatorState::SetSuspended(const std::string& uid, bool suspended, const std::string& writer) {
-  suspended_[uid] = {suspended, NextVersion(writer)};
+void OperatorState::SetSuspended(const std::string& uid, bool suspended, const ChangeOrigin& origin) {
+  suspended_[uid] = {suspended, NextVersion(origin)};
   Prune();
 }
 
-void OperatorState::SetDrained(bool drained, const std::string& writer) {
-  drained_ = {drained, NextVersion(writer)};
+void OperatorState::SetDrained(bool drained, const ChangeOrigin& origin) {
+  drained_ = {drained, NextVersion(origin)};
 }
 
 void OperatorState::AdoptSuspended(const std::string& uid) {
@@ -80,10 +84,11 @@
   return merged == *this;
 }
 
-ChangeVersion OperatorState::NextVersion(const std::string& writer) const {
+ChangeVersion OperatorState::NextVersion(const ChangeOrigin& origin) const {
   std::uint64_t highest = drained_.version.number;
   for (const auto& [uid, flag] : suspended_) highest = std::max(highest, flag.version.number);
-  return {highest + 1, writer};
+  const auto at = static_cast<std::uint64_t>(std::max(origin.at, Time(0)).count());
+  return {std::max(highest + 1, at), origin.writer};
 }
 
 void OperatorState::Prune() {
--- a/src/admin/operator_state.h
+++ b/src/admin/operator_state.h
@@ -3,10 +3,11 @@
 // has the state and its text format only; admin/operator_state_file reads and writes the file.
 //
 // Two processes may change the state at the same time, and each sees the other's change later. So every
-// entry has a version, which exceeds all versions that its writer had seen (a Lamport clock), with the
-// writer's id as the tie-break. States are merged entry by entry, the newer one wins: merging is
-// commutative, associative and idempotent, so that it does not matter in which order changes arrive, how
-// often, or by way of which process.
+// entry has a version from a hybrid logical clock: it exceeds all versions that its writer had seen, and it
+// is not below the time of the change, so that of two changes whose writers had not seen each other's the
+// later one is newer. The writer's id is the tie-break. States are merged entry by entry, the newer one
+// wins: merging is commutative, associative and idempotent, so that it does not matter in which order
+// changes arrive, how often, or by way of which process.
 #ifndef BRASSWOOD_ADMIN_OPERATOR_STATE_H_
 #define BRASSWOOD_ADMIN_OPERATOR_STATE_H_
 
@@ -17,12 +18,20 @@
 #include <string>
 #include <string_view>
 
+#include "base/clock.h"
+
 namespace brasswood {
 
+// The process that makes a change, and when.
+struct ChangeOrigin {
+  std::string writer;  // an id without spaces that no other process has
+  Time at{0};
+};
+
 // The order of the changes of one entry. Version 0 is older than any change: nothing is known, or it comes
 // from a source without versions.
 struct ChangeVersion {
-  std::uint64_t number = 0;
+  std::uint64_t number = 0;  // the time of the change, in ns since the epoch, or above all that were seen
   std::string writer;
   auto operator<=>(const ChangeVersion&) const = default;
 };
@@ -43,9 +52,8 @@
   const std::map<std::string, OperatorFlag>& suspended() const { return suspended_; }
   const OperatorFlag& drained() const { return drained_; }
 
-  // A change by the process `writer`, an id without spaces that no other process has.
-  void SetSuspended(const std::string& uid, bool suspended, const std::string& writer);
-  void SetDrained(bool drained, const std::string& writer);
+  void SetSuspended(const std::string& uid, bool suspended, const ChangeOrigin& origin);
+  void SetDrained(bool drained, const ChangeOrigin& origin);
   // Takes over a suspension from a source without versions: every change by operators is newer.
   void AdoptSuspended(const std::string& uid);
 
@@ -58,7 +66,7 @@
 
  private:
   friend std::optional<OperatorState> Decode(std::string_view text);
-  ChangeVersion NextVersion(const std::string& writer) const;
+  ChangeVersion NextVersion(const ChangeOrigin& origin) const;
   void Prune();
 
   std::map<std::string, OperatorFlag> suspended_;
--- a/src/admin/router_operations.cpp
+++ b/src/admin/router_operations.cpp
@@ -96,7 +96,7 @@
 void RouterOperations::EndStaleDrain(const DiskReading& reading) {
   if (!state_.drained().set || reading.live_processes > 1) return;
   LogLine(Level::kInfo) << "the router was drained before it ended; it starts active";
-  state_.SetDrained(false, writer_);
+  state_.SetDrained(false, ThisChange());
   StateChanged();
 }
 
@@ -239,14 +239,14 @@
 
 bool RouterOperations::Suspend(const std::string& id) {
   if (!engine_.Suspend(id)) return false;
-  state_.SetSuspended(id, true, writer_);
+  state_.SetSuspended(id, true, ThisChange());
   StateChanged();
   return true;
 }
 
 bool RouterOperations::Resume(const std::string& id) {
   if (!engine_.Resume(id)) return false;
-  state_.SetSuspended(id, false, writer_);
+  state_.SetSuspended(id, false, ThisChange());
   StateChanged();
   return true;
 }
@@ -262,7 +262,7 @@
 }
 
 void RouterOperations::SetDrained(bool drained) {
-  state_.SetDrained(drained, writer_);
+  state_.SetDrained(drained, ThisChange());
   ApplyDrain();
   StateChanged();
 }
--- a/src/admin/router_operations.h
+++ b/src/admin/router_operations.h
@@ -85,6 +85,7 @@
   void ApplyState();
   void ApplyDrain();
   void SetDrained(bool drained);
+  ChangeOrigin ThisChange() const { return {writer_, now_()}; }
   void SetProcessCount(std::size_t live_processes);
   void ScheduleWaiterCheck();
 
--- a/tests/net/admin_test.cpp
+++ b/tests/net/admin_test.cpp
@@ -114,10 +114,10 @@
 
 TEST_CASE("operator state is decoded as it was encoded, and an incomplete or foreign text is refused") {
   OperatorState state;
-  state.SetSuspended("s-1", true, "w1");
-  state.SetSuspended("s-2", true, "w2");
-  state.SetSuspended("s-1", false, "w2");
-  state.SetDrained(true, "w1");
+  state.SetSuspended("s-1", true, {"w1"});
+  state.SetSuspended("s-2", true, {"w2"});
+  state.SetSuspended("s-1", false, {"w2"});
+  state.SetDrained(true, {"w1"});
   state.AdoptSuspended("s-3");
   const std::string text = Encode(state);
   CHECK(Decode(text) == state);
@@ -131,7 +131,8 @@
   former.AdoptSuspended("s-1");
   CHECK(Decode("brasswood operator state 1\nsuspended s-1\nend\n") == former);
   for (const char* line : {"server s-1 suspended 1", "server s-1 banned 1 w", "server s-1 suspended x w",
-                           "server s-1 suspended -1 w", "router drained 1", "router off 1 w", ""})
+                           "server s-1 suspended -1 w", "server s-1 suspended 18446744073709551615 w",
+                           "router drained 1", "router off 1 w", ""})
     CHECK_FALSE(Decode("brasswood operator state 2\n" + std::string(line) + "\nend\n"));
   CHECK_FALSE(Decode("brasswood operator state 1\nbanned s-1\nend\n"));
   CHECK_FALSE(Decode(text + "suspended s-3\n"));
--- a/tests/net/operator_state_test.cpp
+++ b/tests/net/operator_state_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <filesystem>
 #include <random>
 #include <string>
 #include <thread>
@@ -56,7 +57,8 @@
     std::vector<OperatorState> states(3), messages;
     for (int step = 0; step < 60; ++step) {
       const std::size_t at = draw(states.size());
-      const std::string writer = "w" + std::to_string(at);
+      // The clocks of the writers differ, and none of them orders what it has seen of the others.
+      const ChangeOrigin writer{"w" + std::to_string(at), Time(draw(40))};
       if (draw(6) == 0) {
         states[at].SetDrained(draw(2) == 0, writer);
       } else {
@@ -68,7 +70,7 @@
     // A change that is made with all others in sight is newer than all of them.
     for (const OperatorState& message : messages) states[0].Merge(message);
     const bool last = draw(2) == 0;
-    states[0].SetSuspended("s1", last, "w0");
+    states[0].SetSuspended("s1", last, {"w0", Time(draw(40))});
     messages.push_back(states[0]);
     for (OperatorState& state : states) {
       std::shuffle(messages.begin(), messages.end(), random);
@@ -82,9 +84,9 @@
 
 TEST_CASE("the number of entries for servers is bounded, and suspended ones are kept") {
   OperatorState state;
-  state.SetSuspended("kept", true, "w");
+  state.SetSuspended("kept", true, {"w"});
   for (std::size_t i = 0; i < 2 * OperatorState::kMaxServers; ++i)
-    state.SetSuspended("s" + std::to_string(i), false, "w");
+    state.SetSuspended("s" + std::to_string(i), false, {"w"});
   CHECK(state.suspended().size() == OperatorState::kMaxServers);
   CHECK(IsSuspended(state, "kept"));
 }
@@ -95,8 +97,8 @@
   const OperatorStateFile file(TemporaryFolder(), "n1");
   OperatorState first, second;
   std::string error;
-  first.SetSuspended("s1", true, "w1");
-  second.SetSuspended("s2", true, "w2");
+  first.SetSuspended("s1", true, {"w1"});
+  second.SetSuspended("s2", true, {"w2"});
   REQUIRE(file.MergeAndWrite(first, error));
   const pid_t holder = ::fork();
   if (holder == 0) {
@@ -131,6 +133,26 @@
   CHECK(Suspended(third) == "1");
 }
 
+// Guards against a change that is undone by an older one whose process had made more changes, or has the
+// greater id.
+TEST_CASE("of two changes whose processes did not know of each other's, the later one holds") {
+  AdminRouter r;
+  Process second = r.StartProcess();
+  const std::string temporary =
+      r.directory + "/brasswood-n1.operator." + std::to_string(r.process.pid) + ".new";
+  std::filesystem::create_directories(temporary + "/in-the-way");  // the first process cannot store
+  for (const char* server : {"s1", "s0"}) {
+    const std::string path = std::string("/v1/cache-servers/") + server + "/suspend";
+    CHECK(Post(r.process.admin_address, path).find("not stored") != std::string::npos);
+  }
+  REQUIRE(Status(Post(second.admin_address, "/v1/cache-servers/s0/resume")) == 200);
+  std::filesystem::remove_all(temporary);
+  CHECK_FALSE(r.process.err.ReadUntil("\n", "operator state is stored again").empty());
+  std::this_thread::sleep_for(700ms);  // each reads the file several times
+  CHECK(Suspended(r.process) == "1");
+  CHECK(Suspended(second) == "1");
+}
+
 // Guards against a router that is drained at one of its processes and still says yes at the other one.
 TEST_CASE("a drain at one process of a replacement holds at the other one, and so does its end") {
   AdminRouter r;
