Confirm operators' changes only once a process that has just started knows of them

Callers saw: a suspension at a process beside which another one has just started is answered yes, and the new process goes on using the server for up to 0.25 s; where the grace is 0.25 s, that is past it.

Cause: how many processes are alive was read every 0.25 s, so that the new one was not counted, and not waited for; it read the state as it was restored, and the next time 0.25 s after it had begun to serve. Ruled out: a slow write (the answer comes within milliseconds).

Change: the processes are counted after each write of the state. A process renews its heartbeat before it reads the state, so that it has either read the change or is counted. It reads the state again as it begins to serve.

--- a/src/admin/router_operations.cpp
+++ b/src/admin/router_operations.cpp
@@ -61,7 +61,7 @@
 void RouterOperations::StartPolling() {
   polling_ = true;
   ApplyDrain();
-  if (disk_) deadlines_.Set(now_() + limits_.state_poll_interval, [this] { PollDisk(); });
+  if (disk_) PollDisk();
 }
 
 void RouterOperations::ReadDisk() {
@@ -139,17 +139,23 @@
   }
 }
 
+// The processes are counted after the file was written. Guards against a change that is confirmed before a
+// process that has just started knows of it: that one renews its heartbeat before it reads the file, so
+// either it has read the change, or it is counted here.
 void RouterOperations::Save() {
   disk_->Submit("save",
-                [this, file = file_, change = latest_change_, state = state_]() -> DiskThread::Completion {
-                  SaveResult result{change, false, {}, state};
+                [this, file = file_, heartbeats = heartbeats_, change = latest_change_,
+                 state = state_]() -> DiskThread::Completion {
+                  SaveResult result{change, 1, false, {}, state};
                   result.stored = file->MergeAndWrite(result.merged, result.error);
+                  if (heartbeats) result.live_processes = heartbeats->RenewAndCount();
                   return [this, result] { Saved(result); };
                 });
 }
 
 // Logs once when saving begins to fail and once when it works again, however often it is tried in between.
 void RouterOperations::Saved(const SaveResult& result) {
+  if (heartbeats_) SetProcessCount(result.live_processes);
   state_.Merge(result.merged);
   ApplyState();
   if (result.stored) {
--- a/src/admin/router_operations.h
+++ b/src/admin/router_operations.h
@@ -47,9 +47,9 @@
   // changes are newer. Call it before the first server list is applied, so that no attempt goes to a
   // suspended server. Waits for the disk for at most `Limits::state_disk_timeout`.
   void Restore(const std::set<std::string>& suspended);
-  // From now on reads the operator state file every `Limits::state_poll_interval`, so that a change made at
-  // another process is applied here, too. Call it once the client front exists. Does nothing if there is no
-  // file.
+  // Reads the operator state file now and every `Limits::state_poll_interval` from now on, so that a change
+  // made at another process is applied here, too. Call it once the client front exists. Does nothing if
+  // there is no file.
   void StartPolling();
 
   bool Ready() const override;
@@ -70,6 +70,7 @@
   // The result of storing the state up to a change.
   struct SaveResult {
     std::uint64_t change = 0;
+    std::size_t live_processes = 1;  // counted after the file was written
     bool stored = false;
     std::string error;
     OperatorState merged;  // with what the file held
--- a/tests/net/operator_state_test.cpp
+++ b/tests/net/operator_state_test.cpp
@@ -153,6 +153,19 @@
   CHECK(Suspended(second) == "1");
 }
 
+// Guards against a yes that comes before a process that has just started knows of the change.
+TEST_CASE("a suspension is known to a process that has just started when the call is answered") {
+  AdminRouter r;
+  std::vector<Process> processes;
+  for (int i = 0; i < 5; ++i) {
+    const bool suspend = i % 2 == 0;
+    const std::string path = std::string("/v1/cache-servers/s0/") + (suspend ? "suspend" : "resume");
+    processes.push_back(r.StartProcess());
+    REQUIRE(Status(Post(r.process.admin_address, path)) == 200);
+    CHECK(Suspended(processes.back()) == (suspend ? "1" : "0"));
+  }
+}
+
 // Guards against a router that is drained at one of its processes and still says yes at the other one.
 TEST_CASE("a drain at one process of a replacement holds at the other one, and so does its end") {
   AdminRouter r;
