Laboratory: write a router's configuration in a module of its own

Need: lab/run/router_process.cpp held over 400 lines and two jobs: the process, and the text of its configuration in one function of 110 lines.

Change: lab/run/router_config formats it, free of I/O, one short function for each part. router_process.cpp has 300 lines.

--- a/lab/run/router_process.cpp
+++ b/lab/run/router_process.cpp
@@ -3,9 +3,6 @@
 #include <dirent.h>
 #include <fcntl.h>
 #include <poll.h>
-#include <rapidjson/document.h>
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
 #include <signal.h>
 #include <spawn.h>
 #include <sys/mman.h>
@@ -29,6 +26,7 @@
 
 #include "lab/base/rng.h"
 #include "lab/run/mapped_file.h"
+#include "lab/run/router_config.h"
 #include "protocol/address.h"
 #include "state/atomic_file.h"
 #include "state/snapshot.h"
@@ -36,8 +34,6 @@
 namespace brasswood::lab {
 namespace {
 
-constexpr std::string_view kEffects[] = {"free", "guarded", "single_shot"};
-
 // Binds a socket to a free port without listening and keeps it open, which reserves the port for this
 // router while the laboratory runs. Guards against two laboratories on one machine whose routers share a
 // port and accept each other's clients.
@@ -62,12 +58,6 @@
   });
 }
 
-template <class Plans>
-double TotalShare(const Plans& plans) {
-  return std::accumulate(plans.begin(), plans.end(), 0.0,
-                         [](double sum, const auto& p) { return sum + p.share; });
-}
-
 }  // namespace
 
 RouterProcess::RouterProcess(const Scenario& scenario, int number, std::vector<std::string> command,
@@ -153,122 +143,6 @@
   ::close(reserved_);
 }
 
-std::string RouterProcess::Configuration(const std::string& discovery, const std::string& known) const {
-  const Scenario& s = scenario_;
-  rapidjson::StringBuffer text;
-  rapidjson::Writer<rapidjson::StringBuffer> w(text);
-  const auto str = [&](const char* key, std::string_view v) {
-    w.Key(key);
-    w.String(v.data(), static_cast<rapidjson::SizeType>(v.size()));
-  };
-  const auto num = [&](const char* key, double v) { w.Key(key), w.Double(v); };
-  const auto whole = [&](const char* key, std::int64_t v) { w.Key(key), w.Int64(v); };
-  const auto flag = [&](const char* key, bool v) { w.Key(key), w.Bool(v); };
-  const auto open = [&](const char* key) { w.Key(key), w.StartObject(); };
-  w.StartObject();
-  str("name", "n" + std::to_string(number_));
-  str("listen", listen_);
-  str("discovery", discovery);
-  char seed[20];
-  std::snprintf(seed, sizeof seed, "%016llx",
-                static_cast<unsigned long long>(
-                    Mix(s.seed * 1009 + static_cast<std::uint64_t>(number_ * 64 + starts_))));
-  str("seed", seed);
-  open("limits");
-  num("cores", 1);
-  num("memory_mb", s.routers.memory_mb);
-  whole("sockets", s.routers.sockets);
-  w.EndObject();
-  w.Key("known");
-  w.RawValue(known.data(), known.size(), rapidjson::kObjectType);
-  open("settings");
-  whole("balancers", static_cast<std::int64_t>(s.halls.size()) * s.routers.per_hall);
-  whole("me", number_);
-  whole("locality", number_ / s.routers.per_hall);
-  w.Key("zones");
-  w.StartArray();
-  for (const std::string& h : s.halls) w.String(h.c_str());
-  w.EndArray();
-  std::vector<std::string> kinds;
-  for (const NodePlan& n : s.nodes) {
-    if (std::find(kinds.begin(), kinds.end(), n.kind) == kinds.end()) kinds.push_back(n.kind);
-  }
-  kinds.emplace_back("origin");
-  w.Key("shapes");
-  w.StartArray();
-  for (const std::string& k : kinds) w.String(k.c_str());
-  w.EndArray();
-  str("registry_mode", s.discovery.pushed ? "pushed" : "on_request");
-  str("weights", s.discovery.states_size ? "nominal" : "none");
-  str("worth_by", "request");
-  num("over_share_worth", 0.1);
-  w.Key("classes");
-  w.StartArray();
-  for (const ClassPlan& c : s.classes) {
-    w.StartObject();
-    str("name", c.name);
-    str("effect", kEffects[static_cast<std::size_t>(c.repeats)]);
-    str("dedup_scope", "all");
-    whole("aim", c.aim.count());
-    whole("give_up", c.give_up.count());
-    whole("window", c.window.count());
-    num("points", c.worth);
-    num("late_value", 0);
-    w.EndObject();
-  }
-  w.EndArray();
-  w.Key("tenants");
-  w.StartArray();
-  const double all = TotalShare(s.tenants);
-  for (const TenantPlan& t : s.tenants) {
-    w.StartObject();
-    str("name", t.name);
-    num("portion", t.share / all);
-    num("allowance_per_s", 1.5 * s.load.rate * t.share / all);
-    w.EndObject();
-  }
-  w.EndArray();
-  open("family_info");
-  str("mode", "aside");
-  whole("origin_kind", static_cast<std::int64_t>(kinds.size()) - 1);
-  num("origin_fall_multiple", s.origin.fall_multiple);
-  whole("origin_fall", s.origin.fall.count());
-  w.EndObject();
-  open("telemetry");
-  str("source", "none");
-  w.EndObject();
-  open("allowed");
-  flag("cancel", true);
-  flag("probes", true);
-  flag("retry_after", true);
-  whole("max_attempts", s.rules.max_attempts);
-  whole("max_retry_after", s.rules.max_retry_after.count());
-  whole("connect_timeout", 200000000);
-  whole("conn_idle", 5000000000);
-  whole("open_cap", 20000);
-  w.EndObject();
-  open("safety");
-  whole("answer_slack", s.rules.answer_slack.count());
-  whole("ask_within", 10000000000);
-  whole("drain_grace", s.rules.drain_grace.count());
-  num("cold_from", s.rules.cold_from);
-  whole("ramp_time", s.rules.ramp.count());
-  num("fall_multiple", s.rules.fall_multiple);
-  whole("fall", s.rules.fall.count());
-  w.EndObject();
-  open("fees");
-  num("cross_zone", s.halls.size() > 1 ? s.rules.cross_price : 0);
-  num("waste", 0.04);
-  num("origin", 0.03);
-  num("probe", 0.01);
-  num("late_fail", 0.028);
-  w.EndObject();
-  whole("round", 5000000);
-  w.EndObject();
-  w.EndObject();
-  return {text.GetString(), text.GetSize()};
-}
-
 void RouterProcess::Start(const std::string& discovery, const std::string& known) {
   const std::string path = WriteConfiguration(discovery, known);
   known_ = known;
@@ -372,7 +246,9 @@
 std::string RouterProcess::WriteConfiguration(const std::string& discovery,
                                               const std::string& known) const {
   const std::string path = folder_ + "/router-" + std::to_string(number_) + ".json";
-  std::ofstream(path + ".new", std::ios::trunc) << Configuration(discovery, known);
+  const auto process = static_cast<std::uint64_t>(number_ * 64 + starts_);
+  std::ofstream(path + ".new", std::ios::trunc)
+      << FormatRouterConfig(scenario_, {number_, process, listen_, discovery, known});
   std::filesystem::rename(path + ".new", path);
   return path;
 }
--- a/lab/run/router_process.h
+++ b/lab/run/router_process.h
@@ -66,7 +66,6 @@
 
  private:
   std::string state_folder() const { return folder_ + "/state-" + std::to_string(number_); }
-  std::string Configuration(const std::string& discovery, const std::string& known) const;
   std::string WriteConfiguration(const std::string& discovery, const std::string& known) const;
   std::optional<int> Reap(int flags);
 
