Keep an operator's drain when the stored state is read for the first time after it

Callers saw: a router starts before a disk that does not answer, its operators drain it (200, held in memory only), and once the disk answers it says yes again.

Cause: a process that starts alone ends a drain that it finds, as its process has ended. It looked at the merged state, which holds its own call too if the first reading comes after that. Ruled out: an older entry in the file (there is none).

Change: a drain whose change was made by this process is not stale.

--- a/src/admin/router_operations.cpp
+++ b/src/admin/router_operations.cpp
@@ -91,10 +91,12 @@
   }
 }
 
-// A drain is taken over from a process that still runs. Guards against a router that never becomes ready
-// because it was drained before it ended.
+// A drain is taken over from a process that still runs, and one that was called here is not stale, however
+// late the disk is read for the first time. Guards against a router that never becomes ready because it was
+// drained before it ended.
 void RouterOperations::EndStaleDrain(const DiskReading& reading) {
-  if (!state_.drained().set || reading.live_processes > 1) return;
+  const OperatorFlag& drained = state_.drained();
+  if (!drained.set || drained.version.writer == writer_ || reading.live_processes > 1) return;
   LogLine(Level::kInfo) << "the router was drained before it ended; it starts active";
   state_.SetDrained(false, ThisChange());
   StateChanged();
--- a/tests/net/operator_state_storage_test.cpp
+++ b/tests/net/operator_state_storage_test.cpp
@@ -83,6 +83,21 @@
   }
 }
 
+// Guards against a drain that is taken for one of an earlier process, because the state is read late.
+TEST_CASE("a drain that is called before the stored state could be read holds once it is read") {
+  char path[] = "/tmp/brasswood-door-XXXXXX";
+  REQUIRE(::mkdtemp(path) != nullptr);
+  const std::string file = std::string(path) + "/brasswood-n1.operator";
+  REQUIRE(::mkfifo(file.c_str(), 0600) == 0);  // its reader is stuck until there is a writer
+  AdminRouter r(path);
+  REQUIRE(Status(Post(r.process.admin_address, "/v1/router/drain")) == 200);
+  Fd writer(::open(file.c_str(), O_WRONLY | O_CLOEXEC));
+  writer.Close();
+  CHECK_FALSE(r.process.err.ReadUntil("\n", "operator state ignored").empty());
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));  // it is stored and read again
+  CHECK(Status(Get(r.process.admin_address, "/v1/readyz")) == 503);
+}
+
 TEST_CASE("the disk thread runs only the latest waiting work of a name, and delivers results on request") {
   DiskThread disk;
   std::mutex disk_busy;
