Share the set-up of a half-sent value between two tests, and drop includes without use

Cause: two tests of pipelined_stream_test.cpp began with the same eight lines; router_process.cpp and core_test.cpp kept headers that only the parts moved out of them used.

Change: HalfSentValue does the set-up, with its two checks; every other statement is as it was. Four includes are gone.

--- a/lab/run/router_process.cpp
+++ b/lab/run/router_process.cpp
@@ -18,7 +18,6 @@
 #include <cstring>
 #include <filesystem>
 #include <fstream>
-#include <numeric>
 #include <set>
 #include <sstream>
 #include <stdexcept>
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -1,9 +1,6 @@
 // The core without sockets: slots, deadlines, and the engine (engine_fixture.h).
 #include <catch2/catch.hpp>
-#include <functional>
-#include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
--- a/tests/net/pipelined_stream_test.cpp
+++ b/tests/net/pipelined_stream_test.cpp
@@ -42,6 +42,21 @@
   return router.process.err.ReadUntil("\n", " counters: ");
 }
 
+// A router whose client has received half of the value of its request a1.
+struct HalfSentValue {
+  Listener server;
+  Router router{ServerEntryJson("s1", server.address(), "in_service")};
+  Fd client = router.Connect();
+  Fd attempt;
+  HalfSentValue() {
+    client.Write(ReadCommand("k", "a1"));
+    attempt = AcceptRead(server, "a1");
+    attempt.Write(Head("a1") + kHalf);
+    CHECK(client.ReadLine() == Head("a1"));
+    CHECK(client.ReadExactly(kHalf.size()) == kHalf);
+  }
+};
+
 }  // namespace
 
 // Guards against writes that take effect and are never answered (review/8): the connection ended with the
@@ -72,51 +87,37 @@
 
 // Guards against work that is begun although its answer depends on a value that may still be cut.
 TEST_CASE("a command behind a large value that is being sent is begun once the value is complete") {
-  Listener server;
-  Router router(ServerEntryJson("s1", server.address(), "in_service"));
-  Fd client = router.Connect();
-  client.Write(ReadCommand("k", "a1"));
-  Fd attempt = AcceptRead(server, "a1");
-  attempt.Write(Head("a1") + kHalf);
-  CHECK(client.ReadLine() == Head("a1"));
-  CHECK(client.ReadExactly(kHalf.size()) == kHalf);
-  client.Write(PublishCommand("p", "a2", "body"));
-  CHECK_FALSE(IsConnectedTo(router.origin));
+  HalfSentValue w;
+  w.client.Write(PublishCommand("p", "a2", "body"));
+  CHECK_FALSE(IsConnectedTo(w.router.origin));
   SECTION("the value is completed") {
-    attempt.Write(kHalf + "\r\n");
-    CHECK(client.ReadExactly(kHalf.size() + 2) == kHalf + "\r\n");
-    AnswerPublish(router);
-    CHECK(client.ReadLine() == "HD Oa2 creceipt\r\n");
+    w.attempt.Write(kHalf + "\r\n");
+    CHECK(w.client.ReadExactly(kHalf.size() + 2) == kHalf + "\r\n");
+    AnswerPublish(w.router);
+    CHECK(w.client.ReadLine() == "HD Oa2 creceipt\r\n");
   }
   SECTION("the value is cut") {
-    Reset(attempt);
-    CHECK(client.PeerClosed());
-    CHECK_FALSE(IsConnectedTo(router.origin));
+    Reset(w.attempt);
+    CHECK(w.client.PeerClosed());
+    CHECK_FALSE(IsConnectedTo(w.router.origin));
   }
-  CHECK(CountersAtExit(router).find(" violations=0\n") != std::string::npos);
+  CHECK(CountersAtExit(w.router).find(" violations=0\n") != std::string::npos);
 }
 
 // Guards against commands that the router kept unread for the sake of a value, and never answers: their
 // client sent them long before the end of the connection.
 TEST_CASE("commands that wait behind a value through a shutdown are refused once it is complete") {
-  Listener server;
-  Router router(ServerEntryJson("s1", server.address(), "in_service"));
-  Fd client = router.Connect();
-  client.Write(ReadCommand("k", "a1"));
-  Fd attempt = AcceptRead(server, "a1");
-  attempt.Write(Head("a1") + kHalf);
-  CHECK(client.ReadLine() == Head("a1"));
-  CHECK(client.ReadExactly(kHalf.size()) == kHalf);
+  HalfSentValue w;
   // The second command exceeds what is read at a time.
-  client.Write(PublishCommand("p", "a2", "body") + PublishCommand("p", "a3", std::string(60'000, 'b')));
-  REQUIRE(::kill(router.process.pid, SIGTERM) == 0);
+  w.client.Write(PublishCommand("p", "a2", "body") + PublishCommand("p", "a3", std::string(60'000, 'b')));
+  REQUIRE(::kill(w.router.process.pid, SIGTERM) == 0);
   // Past the time in which commands that cross the end of their connection are refused.
   std::this_thread::sleep_for(std::chrono::milliseconds(1300));
-  attempt.Write(kHalf + "\r\n");
-  CHECK(client.ReadExactly(kHalf.size() + 2) == kHalf + "\r\n");
-  for (int i = 0; i < 2; ++i) CHECK(client.ReadLine().starts_with("SERVER_ERROR busy"));
-  CHECK(client.PeerClosed());
-  CHECK(router.process.err.ReadUntil("\n", " counters: ").find(" violations=0\n") != std::string::npos);
+  w.attempt.Write(kHalf + "\r\n");
+  CHECK(w.client.ReadExactly(kHalf.size() + 2) == kHalf + "\r\n");
+  for (int i = 0; i < 2; ++i) CHECK(w.client.ReadLine().starts_with("SERVER_ERROR busy"));
+  CHECK(w.client.PeerClosed());
+  CHECK(w.router.process.err.ReadUntil("\n", " counters: ").find(" violations=0\n") != std::string::npos);
 }
 
 // Guards against a connection that ends, with what was sent on it, for a value of which its client has not
